--- a/core/src/main/kotlin/org/banyanturn/core/delivery/RequestLife.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/RequestLife.kt
@@ -55,7 +55,8 @@
 /**
  * The life of one request so far.
  *
- * @property attempts how many attempts were sent.
+ * @property attempts how many attempts were begun.
+ * @property unsentAttempts how many of them ended before any byte had left.
  * @property outcome what is known of the effect of the attempts that have ended.
  * @property failedTargets targets on which an attempt failed.
  * @property answer the part of a streamed answer that the caller has.
@@ -65,11 +66,15 @@
     val request: DeliveryRequest,
     val phase: RequestPhase = RequestPhase.New,
     val attempts: Int = 0,
+    val unsentAttempts: Int = 0,
     val outcome: RequestOutcome = RequestOutcome.NOT_RUN,
     val failedTargets: PersistentSet<TargetId> = persistentSetOf(),
     val answer: AnswerAssembler = AnswerAssembler(),
     val holdsReservation: Boolean = false,
 ) {
+    /** How many attempts left for a target, as far as is known. */
+    val sentAttempts: Int get() = attempts - unsentAttempts
+
     /** Whether the caller has its final answer or is gone. */
     val isEnded: Boolean get() = phase is RequestPhase.Ended
 
@@ -88,6 +93,7 @@
 internal fun RequestLife.afterFailure(phase: RequestPhase.InFlight, evidence: AttemptEvidence): RequestLife =
     copy(
         phase = RequestPhase.ChoosingTarget,
+        unsentAttempts = unsentAttempts + if (evidence == AttemptEvidence.NOT_SENT) 1 else 0,
         outcome = maxOf(outcome, evidence.outcome()),
         failedTargets = failedTargets.adding(phase.targetId),
         answer = answer.stopAttempt(),
--- a/core/src/main/kotlin/org/banyanturn/core/delivery/RequestMachine.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/RequestMachine.kt
@@ -175,10 +175,14 @@
 
     private fun retryOrRefuse(life: RequestLife, nowMillis: Long): RequestStep {
         if (!life.mayRunAgain()) return refuse(life, RefusalReason.ATTEMPTS_FAILED)
-        if (life.attempts >= policy.maxAttempts) return refuse(life, RefusalReason.ATTEMPTS_FAILED)
+        if (life.sentAttempts >= policy.maxAttempts) return refuse(life, RefusalReason.ATTEMPTS_FAILED)
+        if (life.unsentAttempts >= policy.maxUnsentAttempts) return refuse(life, RefusalReason.ATTEMPTS_FAILED)
         val resumeMillis = nowMillis + policy.backoffMillis(life.attempts, random)
         if (resumeMillis >= life.request.deadlineMillis) return refuse(life, RefusalReason.DEADLINE)
-        if (!retryBudget.tryTake(life.request.memberId, nowMillis)) return refuse(life, RefusalReason.RETRY_BUDGET)
+        val needsBudget = life.sentAttempts > 0
+        if (needsBudget && !retryBudget.tryTake(life.request.memberId, nowMillis)) {
+            return refuse(life, RefusalReason.RETRY_BUDGET)
+        }
         return RequestStep(
             life.copy(phase = RequestPhase.BackingOff(resumeMillis)),
             listOf(RequestDecision.WaitUntil(resumeMillis)),
--- a/core/src/main/kotlin/org/banyanturn/core/delivery/RetryPolicy.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/RetryPolicy.kt
@@ -15,19 +15,22 @@
 /**
  * The bounds of retrying one request.
  *
- * @property maxAttempts most attempts of a request, the first included.
+ * @property maxAttempts most attempts of a request that left for a target, the first included.
+ * @property maxUnsentAttempts most attempts of which no byte left, such as failed connections; they cost no budget.
  * @property baseBackoffMillis upper bound of the wait before the second attempt.
  * @property maxBackoffMillis upper bound of any wait.
  * @property unresolvedRetryAfterMillis when a caller is told to ask again for an outcome that is unknown.
  */
 public data class RetryPolicy(
     val maxAttempts: Int = 6,
+    val maxUnsentAttempts: Int = 6,
     val baseBackoffMillis: Long = 20,
     val maxBackoffMillis: Long = 500,
     val unresolvedRetryAfterMillis: Long = 2_000,
 ) {
     init {
         require(maxAttempts >= 1) { "maxAttempts is at least 1, got $maxAttempts" }
+        require(maxUnsentAttempts >= 1) { "maxUnsentAttempts is at least 1, got $maxUnsentAttempts" }
         require(baseBackoffMillis in 1..maxBackoffMillis) { "baseBackoffMillis is in 1..$maxBackoffMillis" }
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -0,0 +1,177 @@
+package org.banyanturn.core.limits
+
+import kotlin.math.ceil
+import kotlin.math.max
+import kotlin.math.min
+
+/**
+ * Settings of allotments; all VMs must agree on them.
+ *
+ * @property calmReportMillis time between reports while the member is far below its limit.
+ * @property busyReportMillis time between reports while it comes close to its limit.
+ * @property urgentReportMillis the shortest time between reports, while a request waits for room.
+ * @property maxWaitMillis how long a request waits for room before it is refused.
+ * @property silenceMillis silence of the collector after which a VM takes an equal part only.
+ */
+public data class AllotmentSettings(
+    val calmReportMillis: Long = 1_000,
+    val busyReportMillis: Long = 200,
+    val urgentReportMillis: Long = 40,
+    val maxWaitMillis: Long = 200,
+    val silenceMillis: Long = 1_500,
+)
+
+/**
+ * What a VM tells the collector of one member's use.
+ *
+ * @property number counts the VM's reports.
+ * @property usedCost cost units that this life of the VM has admitted in all.
+ * @property demandPerSecond cost units a second that arrive at the VM, refused ones included.
+ * @property knownLevel the member's unused cost units as the VM last heard of them, for a collector that starts.
+ */
+public data class AllotmentReport(
+    val number: Long,
+    val usedCost: Double,
+    val demandPerSecond: Double,
+    val knownLevel: Double,
+)
+
+/**
+ * The collector's answer to a report.
+ *
+ * @property reportNumber the report that is answered.
+ * @property level cost units of the member that no VM has used; below 0 after more was admitted than the limit allows.
+ * @property share part of the limit that the VM may use, from 0 to 1, by its part of the demand.
+ * @property seenUsedCost what the VM had admitted as far as the collector knows.
+ */
+public data class AllotmentGrant(
+    val reportNumber: Long,
+    val level: Double,
+    val share: Double,
+    val seenUsedCost: Double,
+)
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** Part of the burst below which reports become frequent. */
+private const val BUSY_LEVEL_FRACTION = 0.6
+
+/**
+ * One VM's part of one member's limit.
+ *
+ * Load pattern: a member's requests are spread unevenly over the VMs, and one member sends many times its rate. Each VM
+ * admits at its part of the rate, which follows its part of the demand, without asking for single requests; a request
+ * that finds no room waits briefly while the VM reports, and is refused if the member is truly at its limit. A VM that
+ * doesn't hear from the collector admits an equal part, so that all VMs together keep to the limit.
+ */
+public class AllotmentShare(
+    ratePerSecond: Double,
+    burst: Double,
+    private val settings: AllotmentSettings,
+    nowMillis: Long,
+) {
+    private var ratePerSecond = ratePerSecond
+    private var burst = burst
+    private val demand = DemandMeter()
+    private var share: Double? = null
+    private var tokens = 0.0
+    private var knownLevel = 0.0
+    private var usedCost = 0.0
+    private var refilledAtMillis = nowMillis
+    private var grantAtMillis: Long? = null
+    private var reportNumber = 0L
+    private var appliedReport = 0L
+    private var reportedAtMillis: Long? = null
+    private var isShort = false
+
+    /** Takes over a changed limit. */
+    public fun setLimit(newRatePerSecond: Double, newBurst: Double, vmCount: Int, nowMillis: Long) {
+        refill(vmCount, nowMillis)
+        ratePerSecond = newRatePerSecond
+        burst = newBurst
+        tokens = min(tokens, partOfLimit(vmCount, nowMillis) * burst)
+        knownLevel = min(knownLevel, burst)
+    }
+
+    /** Notes that a request with [cost] has arrived. */
+    public fun recordDemand(cost: Double, nowMillis: Long): Unit = demand.record(cost, nowMillis)
+
+    /** Returns whether a request with [cost] that arrived at [arrivedAtMillis] may run now. */
+    public fun tryAcquire(cost: Double, vmCount: Int, nowMillis: Long, arrivedAtMillis: Long): RateDecision {
+        refill(vmCount, nowMillis)
+        if (tokens >= min(cost, fullBucket(vmCount, nowMillis))) {
+            tokens -= cost
+            usedCost += cost
+            return RateDecision.Admitted
+        }
+        isShort = true
+        val untilMillis = arrivedAtMillis + settings.maxWaitMillis
+        if (nowMillis < untilMillis) return RateDecision.Undecided(untilMillis)
+        return RateDecision.Refused(roomAfterMillis(cost, vmCount, nowMillis))
+    }
+
+    /** Takes back the [cost] of a request that was admitted and has not run. */
+    public fun refund(cost: Double) {
+        tokens = min(tokens + cost, burst)
+        usedCost -= cost
+    }
+
+    private fun roomAfterMillis(cost: Double, vmCount: Int, nowMillis: Long): Long {
+        val rate = max(partOfLimit(vmCount, nowMillis) * ratePerSecond, 1.0)
+        return ceil((min(cost, burst) - tokens) / rate * MILLIS_PER_SECOND).toLong().coerceAtLeast(1)
+    }
+
+    /** A request larger than the bucket is admitted when the bucket is full, and is paid for afterwards. */
+    private fun fullBucket(vmCount: Int, nowMillis: Long): Double = partOfLimit(vmCount, nowMillis) * burst
+
+    private fun partOfLimit(vmCount: Int, nowMillis: Long): Double {
+        val heardAtMillis = grantAtMillis
+        val isHeard = heardAtMillis != null && nowMillis - heardAtMillis < settings.silenceMillis
+        val equalPart = 1.0 / max(1, vmCount)
+        return if (isHeard) share ?: equalPart else min(equalPart, share ?: equalPart)
+    }
+
+    private fun refill(vmCount: Int, nowMillis: Long) {
+        if (nowMillis <= refilledAtMillis) return
+        val part = partOfLimit(vmCount, nowMillis)
+        val elapsedSeconds = (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND
+        tokens = max(tokens, min(part * burst, tokens + part * ratePerSecond * elapsedSeconds))
+        refilledAtMillis = nowMillis
+    }
+
+    /** Returns the report that is due, or `null`. */
+    public fun dueReportOrNull(nowMillis: Long): AllotmentReport? {
+        val lastArrivalMillis = demand.lastArrivalMillis ?: return null
+        val sinceReportMillis = reportedAtMillis?.let { nowMillis - it } ?: Long.MAX_VALUE
+        val isIdle = nowMillis - lastArrivalMillis > IDLE_MILLIS
+        if (isIdle || sinceReportMillis < reportIntervalMillis()) return null
+        reportedAtMillis = nowMillis
+        isShort = false
+        reportNumber++
+        return AllotmentReport(reportNumber, usedCost, demand.ratePerSecond(nowMillis), knownLevel)
+    }
+
+    private fun reportIntervalMillis(): Long =
+        when {
+            isShort -> settings.urgentReportMillis
+            share == null || knownLevel < BUSY_LEVEL_FRACTION * burst -> settings.busyReportMillis
+            else -> settings.calmReportMillis
+        }
+
+    /** Takes in the collector's answer; one that is older than the last changes nothing. */
+    public fun onGrant(grant: AllotmentGrant, nowMillis: Long) {
+        if (grant.reportNumber <= appliedReport) return
+        appliedReport = grant.reportNumber
+        grantAtMillis = nowMillis
+        refilledAtMillis = nowMillis
+        share = grant.share
+        knownLevel = grant.level
+        val unseenCost = max(0.0, usedCost - grant.seenUsedCost)
+        tokens = min(grant.level * grant.share, burst * grant.share) - unseenCost
+    }
+
+    private companion object {
+        /** Time without requests after which a VM stops reporting. */
+        const val IDLE_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -0,0 +1,88 @@
+package org.banyanturn.core.limits
+
+import org.banyanturn.core.Incarnation
+import kotlin.math.max
+import kotlin.math.min
+
+private const val MILLIS_PER_SECOND = 1_000.0
+
+/** Demand that every VM is taken to have at least, as a part of the rate, so that a VM that wakes up has a share. */
+private const val LEAST_DEMAND_FRACTION = 0.02
+
+/** How long a VM's last report counts. */
+private const val REPORT_LIFE_MILLIS = 3_000L
+
+/** How long after its start a collector takes what VMs have admitted for spent before, and believes their levels. */
+private const val LEARNING_MILLIS = 1_500L
+
+/**
+ * The sum of one member's use over all VMs, kept on one of them.
+ *
+ * It grants no leases and gives no single request leave: what it knows can be lost and is rebuilt from the next
+ * reports, and VMs that can't reach it go on with equal parts of the limit.
+ */
+public class AllotmentCollector(
+    private var ratePerSecond: Double,
+    private var burst: Double,
+    private val startMillis: Long,
+) {
+    private val holders = HashMap<Incarnation, HolderUse>()
+    private var level: Double? = null
+    private var refilledAtMillis = startMillis
+
+    /** Takes over a changed limit. */
+    public fun setLimit(newRatePerSecond: Double, newBurst: Double, nowMillis: Long) {
+        refill(nowMillis)
+        ratePerSecond = newRatePerSecond
+        burst = newBurst
+        level = level?.let { min(it, newBurst) }
+    }
+
+    /** Returns the answer to [report] of the VM [from]; [vmCount] VMs are known. */
+    public fun onReport(from: Incarnation, report: AllotmentReport, vmCount: Int, nowMillis: Long): AllotmentGrant {
+        refill(nowMillis)
+        val isLearning = nowMillis - startMillis < LEARNING_MILLIS
+        val known = holders[from]
+        val holder = known ?: HolderUse(if (isLearning) report.usedCost else 0.0).also { holders[from] = it }
+        val before = level ?: min(burst, report.knownLevel)
+        val believed = if (isLearning && known == null) min(before, max(0.0, report.knownLevel)) else before
+        level = believed - holder.advanceTo(report, nowMillis)
+        return AllotmentGrant(report.number, level ?: 0.0, shareOf(holder, vmCount, nowMillis), holder.usedCost)
+    }
+
+    private fun refill(nowMillis: Long) {
+        if (nowMillis <= refilledAtMillis) return
+        val filled = ratePerSecond * (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND
+        level = level?.let { min(burst, it + filled) }
+        refilledAtMillis = nowMillis
+        holders.values.removeIf { nowMillis - it.heardAtMillis > REPORT_LIFE_MILLIS }
+    }
+
+    private fun shareOf(holder: HolderUse, vmCount: Int, nowMillis: Long): Double {
+        val least = LEAST_DEMAND_FRACTION * ratePerSecond / max(1, vmCount)
+        val heard = holders.values.filter { nowMillis - it.heardAtMillis <= REPORT_LIFE_MILLIS }
+        val silent = max(0, vmCount - heard.size)
+        val total = heard.sumOf { max(least, it.demandPerSecond) } + silent * least
+        return if (total <= 0) 1.0 / max(1, vmCount) else max(least, holder.demandPerSecond) / total
+    }
+}
+
+/** What one VM has admitted, as far as its reports have come. */
+private class HolderUse(var usedCost: Double) {
+    var demandPerSecond = 0.0
+        private set
+    var heardAtMillis = Long.MIN_VALUE
+        private set
+    private var lastNumber = 0L
+
+    /** Takes in [report] and returns what was used since the one before; one that comes late changes nothing. */
+    fun advanceTo(report: AllotmentReport, nowMillis: Long): Double {
+        heardAtMillis = nowMillis
+        if (report.number <= lastNumber) return 0.0
+        lastNumber = report.number
+        demandPerSecond = report.demandPerSecond
+        val newlyUsed = report.usedCost - usedCost
+        usedCost = report.usedCost
+        return newlyUsed
+    }
+}
--- a/core/src/main/kotlin/org/banyanturn/core/routing/TargetLoad.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/TargetLoad.kt
@@ -1,7 +1,7 @@
 package org.banyanturn.core.routing
 
-/** The longest report lag that is believed; an older report only tells the batch size. */
-private const val MAX_REPORT_AGE_MILLIS = 10_000L
+/** The longest report lag that is believed if nothing else is said; an older report only tells the batch size. */
+public const val DEFAULT_REPORT_LIFE_MILLIS: Long = 10_000L
 
 /**
  * A target's load as this router estimates it: the last report, and what the router itself has sent and seen end.
@@ -15,28 +15,29 @@
     private val asOfMillis: Long,
     private val sentMillis: Map<String, Long>,
     private val endedMillis: List<Long>,
+    private val reportLifeMillis: Long,
 ) {
     /** Returns the load after a report whose figures stand for [asOfMillis]; one older than the last is ignored. */
     public fun reported(running: Int, waiting: Int, batchSlots: Int, asOfMillis: Long): TargetLoad {
         if (asOfMillis < this.asOfMillis) return this
         val ended = endedMillis.filter { it > asOfMillis }
-        return TargetLoad(running + waiting, batchSlots, asOfMillis, sentMillis, ended)
+        return TargetLoad(running + waiting, batchSlots, asOfMillis, sentMillis, ended, reportLifeMillis)
     }
 
     /** Returns the load after this router sent request [attemptId]. */
     public fun sent(attemptId: String, nowMillis: Long): TargetLoad =
-        TargetLoad(reportedRequests, batchSlots, asOfMillis, sentMillis + (attemptId to nowMillis), endedMillis)
+        TargetLoad(reportedRequests, batchSlots, asOfMillis, sentMillis + (attemptId to nowMillis), endedMillis, reportLifeMillis)
 
     /** Returns the load after request [attemptId] of this router ended; one that the report counts is taken off. */
     public fun ended(attemptId: String, nowMillis: Long): TargetLoad {
         val sent = sentMillis[attemptId] ?: return this
         val ended = if (sent <= asOfMillis) endedMillis + nowMillis else endedMillis
-        return TargetLoad(reportedRequests, batchSlots, asOfMillis, sentMillis - attemptId, ended)
+        return TargetLoad(reportedRequests, batchSlots, asOfMillis, sentMillis - attemptId, ended, reportLifeMillis)
     }
 
     /** Returns how many requests the target is taken to have at [nowMillis]. */
     public fun requestsAt(nowMillis: Long): Int {
-        if (nowMillis - asOfMillis > MAX_REPORT_AGE_MILLIS) return sentMillis.size
+        if (nowMillis - asOfMillis > reportLifeMillis) return sentMillis.size
         val sentSince = sentMillis.values.count { it > asOfMillis }
         return maxOf(sentMillis.size, reportedRequests - endedMillis.size + sentSince)
     }
@@ -45,6 +46,10 @@
     public fun batchRoomAt(nowMillis: Long): Int = batchSlots - requestsAt(nowMillis)
 }
 
-/** Returns the load of a target with [batchSlots] that has not reported yet. */
-public fun targetLoadOf(batchSlots: Int): TargetLoad =
-    TargetLoad(0, batchSlots, Long.MIN_VALUE / 2, emptyMap(), emptyList())
+/**
+ * Returns the load of a target with [batchSlots] that has not reported yet.
+ *
+ * @param reportLifeMillis how long a report is believed; about as long as the requests at the target last.
+ */
+public fun targetLoadOf(batchSlots: Int, reportLifeMillis: Long = DEFAULT_REPORT_LIFE_MILLIS): TargetLoad =
+    TargetLoad(0, batchSlots, Long.MIN_VALUE / 2, emptyMap(), emptyList(), reportLifeMillis)
--- a/core/src/main/kotlin/org/banyanturn/core/state/RateHome.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/state/RateHome.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.MemberId
+import org.banyanturn.core.stableHash
 
 /** How many partitions the members' rates are divided into; each has one home VM. */
 public const val RATE_PARTITIONS: Int = 64
@@ -72,15 +73,3 @@
 /** Returns the incarnation that rendezvous hashing prefers as the home of [partition]. */
 internal fun List<Incarnation>.bestRateHome(partition: Int): Incarnation =
     maxBy { stableHash("$partition/${it.vmId.value}") }
-
-private const val FNV_OFFSET_BASIS = -3_750_763_034_362_895_579L
-private const val FNV_PRIME = 1_099_511_628_211L
-private const val MIX_MULTIPLIER = -4_417_276_706_812_531_889L
-private const val MIX_SHIFT = 32
-
-/** Returns a 64-bit hash of [text] that is the same on every VM and in every version. */
-private fun stableHash(text: String): Long {
-    val hash = text.encodeToByteArray().fold(FNV_OFFSET_BASIS) { hash, byte -> (hash xor byte.toLong()) * FNV_PRIME }
-    val mixed = (hash xor (hash ushr MIX_SHIFT)) * MIX_MULTIPLIER
-    return mixed xor (mixed ushr MIX_SHIFT)
-}
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -43,12 +43,54 @@
     /** A peer did not answer. */
     PEER_UNREACHABLE(1107, Level.WARN, "a peer did not answer"),
 
+    /** The platform's store does not answer, or turns this VM away. */
+    STORE_LOST(1108, Level.WARN, "the platform's store can't be read; what is known stays in force"),
+
+    /** The platform's store answers again. */
+    STORE_REGAINED(1109, Level.INFO, "the platform's store can be read again"),
+
+    /** This VM follows a newer catalog. */
+    CATALOG_ADOPTED(1110, Level.INFO, "a newer catalog is in force"),
+
+    /** A catalog or entry could not be read. */
+    DECLARATION_UNREADABLE(1111, Level.WARN, "a declaration can't be read and is ignored"),
+
+    /** What this VM owns has changed. */
+    OWNERSHIP_CHANGED(1112, Level.INFO, "the engines and members that this VM owns have changed"),
+
+    /** A target was listed, changed or left the list. */
+    TARGET_CHANGED(1113, Level.INFO, "a target's entry has changed"),
+
+    /** Log lines were dropped. */
+    LINES_DROPPED(1114, Level.WARN, "log lines beyond the bound a second were dropped"),
+
+    /** The process was suspended for a while. */
+    PROCESS_SUSPENDED(1115, Level.WARN, "the process was suspended; leases count as lapsed until they are renewed"),
+
+    /** The platform says that settings have changed. */
+    SETTINGS_RELOADED(1116, Level.INFO, "the settings were looked at again"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
     /** An attempt at a target failed. */
     ATTEMPT_FAILED(2003, Level.WARN, "an attempt at a target failed"),
 
+    /** A request waits for a target or a copy. */
+    REQUEST_WAITS(2007, Level.INFO, "a request waits"),
+
+    /** No target can take a request now. */
+    REQUEST_NOT_PLACED(2008, Level.INFO, "no target can take the request"),
+
+    /** An attempt left for a target. */
+    ATTEMPT_SENT(2009, Level.INFO, "an attempt was sent"),
+
+    /** A request was answered by its target. */
+    REQUEST_ANSWERED(2010, Level.INFO, "a request was answered"),
+
+    /** A stream that had begun was broken off. */
+    STREAM_ABORTED(2011, Level.WARN, "a stream was broken off"),
+
     /** The caller closed the connection. */
     CALLER_GONE(2005, Level.INFO, "the caller has gone; the attempt is cancelled"),
 
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -0,0 +1,212 @@
+package org.banyanturn.entry
+
+import io.netty.channel.Channel
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
+import org.banyanturn.core.Incarnation
+import org.banyanturn.core.admission.FleetRetryLimit
+import org.banyanturn.core.delivery.DrainSettings
+import org.banyanturn.core.serving.CallerLimits
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.daemon.metrics.metricsText
+import org.banyanturn.daemon.processClock
+import org.banyanturn.entry.follow.CatalogFollower
+import org.banyanturn.entry.follow.Ownership
+import org.banyanturn.entry.follow.OwnershipSettings
+import org.banyanturn.entry.follow.Peer
+import org.banyanturn.entry.follow.StoreWatch
+import org.banyanturn.entry.follow.TargetFollower
+import org.banyanturn.entry.http.CallerConnection
+import org.banyanturn.entry.http.CallerConnectionContext
+import org.banyanturn.entry.http.HttpExchangesOverChannels
+import org.banyanturn.entry.http.SmallAnswer
+import org.banyanturn.entry.http.TargetChannels
+import org.banyanturn.entry.http.listenForCallers
+import org.banyanturn.entry.http.listenForQuestions
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.peers.AllotmentExchange
+import org.banyanturn.entry.peers.PeerDesk
+import org.banyanturn.entry.requests.CopyDesk
+import org.banyanturn.entry.requests.CopyOutlook
+import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.requests.MemberLimits
+import org.banyanturn.entry.requests.RequestEnvironment
+import org.banyanturn.entry.requests.RequestHandler
+import org.banyanturn.entry.requests.ServiceRetries
+import org.banyanturn.entry.requests.TargetPlacement
+import org.banyanturn.entry.requests.WaitingRoom
+import org.banyanturn.platform.hosted.HostedStore
+import org.banyanturn.platform.hosted.SocketAddressText
+import org.banyanturn.platform.hosted.VmBoot
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** Topics whose partitions are divided among the VMs; more than there are VMs, so that each VM owns some. */
+private const val OWNERSHIP_TOPICS = 8
+
+/** How often waits, reports and deadlines of connections are looked at. */
+private const val TICK_MILLIS = 20L
+private const val SECOND_MILLIS = 1_000L
+
+/** How long the balancer takes to notice that a VM is not ready: two questions, one a second, and some delay. */
+private const val READINESS_LAG_MILLIS = 2_500L
+
+/** Time that is left before the platform kills the process. */
+private const val EXIT_MARGIN_MILLIS = 400L
+
+/** What callers may send while no catalog is known. */
+private val UNKNOWN_LIMITS = CallerLimits(
+    maxHeaderBytes = 16_384,
+    maxBodyBytes = 1_048_576,
+    headerTimeoutMillis = 5_000,
+    idleTimeoutMillis = 15_000,
+)
+
+/** The one process of an entry VM: serves callers, and orders the engines that this VM owns. */
+internal class EntryProcess(private val boot: VmBoot) : ShutdownActions {
+    private val clock = processClock()
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop: EventLoop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val random = Random(System.nanoTime() xor boot.vmId.hashCode().toLong())
+    private val metrics = EntryMetrics()
+    private val log = DecisionLog(clock, metrics)
+    private val self = Peer(Incarnation(boot.vmId, System.currentTimeMillis()), boot.zoneId, boot.address)
+    private val view = FleetView(clock, boot.zoneId)
+    private val channels = TargetChannels(loop, clock)
+    private val exchanges = HttpExchangesOverChannels(channels)
+    private val store = HostedStore(boot.storeAddress, exchanges)
+    private val ownership = Ownership(
+        group = store.ownershipGroup(
+            name = "banyanturn",
+            member = self.toMemberName(),
+            topics = List(OWNERSHIP_TOPICS) { "ownership-$it" },
+            partitionsPerTopic = boot.partitionsPerTopic,
+        ),
+        self = self,
+        settings = OwnershipSettings(ttlMillis = maxOf(OwnershipSettings().ttlMillis, boot.leastGroupTtlMillis)),
+        watch = StoreWatch("group", clock, log),
+        clock = clock,
+        log = log,
+    )
+    private val catalogFollower = CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log)
+    private val targetFollower = TargetFollower(store.targets, view, StoreWatch("targets", clock, log), clock, log)
+    private val limits = MemberLimits(ownership::vmCount)
+    private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock)
+    private val placement = TargetPlacement(view, clock, random)
+    private val waitingRoom = WaitingRoom(placement, clock)
+    private val retries = ServiceRetries(
+        FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
+        ownership::vmCount,
+    )
+    private val copyDesk = CopyDesk { _, _ -> CopyOutlook.Unavailable(SECOND_MILLIS) }
+    private val handler = RequestHandler(
+        RequestEnvironment(
+            clock, loop, view, channels, placement, waitingRoom, copyDesk, limits, retries, log, metrics, random,
+        ),
+    )
+    private val peers = PeerDesk(group, boot, self, ownership, allotments, view)
+    private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
+    private val shutdown = Shutdown(
+        DrainSettings(READINESS_LAG_MILLIS, boot.bounds.graceMillis - EXIT_MARGIN_MILLIS, handOverMillis = 0),
+        clock,
+        this,
+    )
+    private val connections = LinkedHashSet<CallerConnection>()
+    private val ended = CountDownLatch(1)
+    private lateinit var callerSocket: Channel
+
+    /** Serves until the process is asked to stop and everything has its final answer. */
+    fun run() {
+        listen()
+        installSignalHandlers()
+        onLoop(::startWork)
+        log.write(Event.PROCESS_STARTED, field("vm", boot.vmId), field("zone", boot.zoneId), field("incarnation", self.incarnation.number))
+        ended.await()
+        log.write(Event.SHUTDOWN_FINISHED, field("vm", boot.vmId))
+    }
+
+    private fun listen() {
+        val shared = CallerConnectionContext(
+            clock = clock,
+            limits = { view.catalog?.callerLimits ?: UNKNOWN_LIMITS },
+            isClosing = { !shutdown.isServing },
+            onRequest = { exchange ->
+                shutdown.watch(exchange)
+                handler.onRequest(exchange)
+            },
+            connections = connections,
+        )
+        listenForQuestions(group, boot.readinessAddress) { answerReadiness() }
+        listenForQuestions(group, SocketAddressText(boot.address, boot.metricsPort)) {
+            SmallAnswer(HttpResponseStatus.OK, metricsText(metrics.registry).encodeToByteArray())
+        }
+        callerSocket = listenForCallers(group, boot.callerAddress, shared)
+    }
+
+    private fun answerReadiness(): SmallAnswer {
+        val isReady = shutdown.isServing && view.catalog != null && view.hasDirectory
+        return SmallAnswer(if (isReady) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
+    private fun startWork() {
+        view.watch(waitingRoom::serve)
+        scope.launch { catalogFollower.run() }
+        scope.launch { targetFollower.run() }
+        scope.launch { ownership.run() }
+        loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate(::tickSecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun tick() {
+        val gapMillis = suspension.takeGapMillis()
+        if (gapMillis != 0L) {
+            ownership.dropLease()
+            log.write(Event.PROCESS_SUSPENDED, field("gapMillis", gapMillis))
+        }
+        waitingRoom.serve()
+        peers.sendDue()
+        shutdown.tick()
+    }
+
+    private fun tickSecond() {
+        val nowMillis = clock.nowMillis()
+        connections.toList().forEach { it.closeIfOverdue(nowMillis) }
+        channels.closeStale()
+        allotments.forgetForeign()
+    }
+
+    private fun installSignalHandlers() {
+        sun.misc.Signal.handle(sun.misc.Signal("TERM")) { onLoop(shutdown::begin) }
+        sun.misc.Signal.handle(sun.misc.Signal("HUP")) {
+            onLoop { log.write(Event.SETTINGS_RELOADED, field("vm", boot.vmId)) }
+        }
+    }
+
+    private fun onLoop(action: () -> Unit) {
+        loop.execute(action)
+    }
+
+    override fun announceLeaving() {
+        log.write(Event.SHUTDOWN_STARTED, field("vm", boot.vmId))
+        scope.launch { ownership.leave() }
+    }
+
+    override fun stopAccepting() {
+        callerSocket.close()
+        connections.toList().forEach { it.closeIfIdle() }
+    }
+
+    override fun exit() {
+        ended.countDown()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -0,0 +1,96 @@
+package org.banyanturn.entry.follow
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.delay
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.platform.KeyedChanges
+import org.banyanturn.platform.KeyedRecord
+import org.banyanturn.platform.KeyedTopic
+import org.banyanturn.platform.hosted.CATALOG_KEY
+import org.banyanturn.platform.hosted.parseCatalog
+
+/** How long a read waits for a change; a connection that went silent is noticed after it. */
+private const val WAIT_MILLIS = 1_500L
+
+private const val RETRY_MILLIS = 200L
+
+/** Keeps the catalog of [view] up to date from the platform's store; it never moves to an older version. */
+internal class CatalogFollower(
+    private val topic: KeyedTopic,
+    private val view: FleetView,
+    private val watch: StoreWatch,
+    private val log: DecisionLog,
+) {
+    private var nextOffset: Long? = null
+
+    /** The document of the catalog in force, for peers that can't reach the store; `null` while there is none. */
+    var document: String? = null
+        private set
+
+    /** Follows until cancelled. */
+    suspend fun run() {
+        while (true) {
+            val isRead = nextOffset?.let { readChanges(it) } ?: readSnapshot()
+            if (!isRead) delay(RETRY_MILLIS)
+        }
+    }
+
+    private suspend fun readSnapshot(): Boolean =
+        topic.snapshot().fold(
+            success = { snapshot ->
+                watch.onSuccess()
+                snapshot.records.forEach { take(it, "store") }
+                nextOffset = snapshot.nextOffset
+                true
+            },
+            failure = {
+                watch.onError(it)
+                false
+            },
+        )
+
+    private suspend fun readChanges(fromOffset: Long): Boolean {
+        val changes = topic.changes(fromOffset, WAIT_MILLIS).getOrElse {
+            watch.onError(it)
+            return false
+        }
+        watch.onSuccess()
+        when (changes) {
+            is KeyedChanges.Records -> {
+                changes.records.forEach { take(it, "store") }
+                nextOffset = changes.nextOffset
+            }
+
+            KeyedChanges.Expired -> nextOffset = null
+        }
+        return true
+    }
+
+    private fun take(record: KeyedRecord, source: String) {
+        if (record.key != CATALOG_KEY) return
+        record.value?.let { takeDocument(it.decodeToString(), source) }
+    }
+
+    /** Takes over the catalog in [text] if it is newer than the one in force. */
+    fun takeDocument(text: String, source: String) {
+        parseCatalog(text).fold(
+            success = { catalog ->
+                val before = view.catalog?.version
+                if (!view.adopt(catalog)) return
+                document = text
+                log.write(
+                    Event.CATALOG_ADOPTED,
+                    field("version", catalog.version),
+                    field("before", before),
+                    field("routes", catalog.routeCount),
+                    field("source", source),
+                )
+            },
+            failure = { log.write(Event.DECLARATION_UNREADABLE, field("key", CATALOG_KEY), field("error", it.problem)) },
+        )
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/StoreWatch.kt
@@ -0,0 +1,46 @@
+package org.banyanturn.entry.follow
+
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.platform.StoreError
+
+/** Whether one kind of call to the platform's store succeeds, and since when. */
+internal class StoreWatch(
+    private val call: String,
+    private val clock: ProcessClock,
+    private val log: DecisionLog,
+) {
+    private var lostAtMillis: Long? = null
+    private var regainedAtMillis: Long? = null
+
+    /** When a call last succeeded, or `null` if none has. */
+    var succeededAtMillis: Long? = null
+        private set
+
+    /** Notes that a call has succeeded. */
+    fun onSuccess() {
+        val nowMillis = clock.nowMillis()
+        lostAtMillis?.let {
+            log.write(Event.STORE_REGAINED, field("call", call), field("outageMillis", nowMillis - it))
+            regainedAtMillis = nowMillis
+        }
+        lostAtMillis = null
+        succeededAtMillis = nowMillis
+    }
+
+    /** Notes that a call has failed. */
+    fun onError(error: StoreError) {
+        if (lostAtMillis == null) {
+            log.write(Event.STORE_LOST, field("call", call), field("error", error))
+            lostAtMillis = clock.nowMillis()
+        }
+    }
+
+    /** Returns whether calls failed within the last [windowMillis]. */
+    fun wasLostWithin(windowMillis: Long): Boolean {
+        val nowMillis = clock.nowMillis()
+        return lostAtMillis != null || regainedAtMillis?.let { nowMillis - it < windowMillis } == true
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpExchangesOverChannels.kt
@@ -0,0 +1,77 @@
+package org.banyanturn.entry.http
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.banyanturn.platform.hosted.HttpExchangeCall
+import org.banyanturn.platform.hosted.HttpExchangeFailure
+import org.banyanturn.platform.hosted.HttpExchangeReply
+import org.banyanturn.platform.hosted.HttpExchanges
+import org.banyanturn.platform.hosted.SocketAddressText
+import java.io.ByteArrayOutputStream
+
+/** Calls with short answers over [channels]; to be used on their event loop. */
+internal class HttpExchangesOverChannels(private val channels: TargetChannels) : HttpExchanges {
+    override suspend fun call(
+        address: SocketAddressText,
+        call: HttpExchangeCall,
+    ): Result<HttpExchangeReply, HttpExchangeFailure> {
+        val collector = ReplyCollector()
+        val attempt = channels.send(address, requestOf(address, call), { true }, collector)
+        val result = withTimeoutOrNull(call.timeoutMillis) { collector.result.await() }
+        if (result != null) return result
+        attempt.cancel()
+        return Err(HttpExchangeFailure(wasSent = true, "no answer within ${call.timeoutMillis} ms"))
+    }
+
+    private fun requestOf(address: SocketAddressText, call: HttpExchangeCall): DefaultFullHttpRequest {
+        val request = DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(call.method),
+            call.pathAndQuery,
+            Unpooled.wrappedBuffer(call.body),
+            DefaultHttpHeadersFactory.headersFactory().withValidation(false),
+            DefaultHttpHeadersFactory.trailersFactory(),
+        )
+        request.headers().set(HttpHeaderNames.HOST, address.toString())
+        call.headers.forEach { (name, value) -> request.headers().set(name, value) }
+        if (call.body.isNotEmpty() || call.method != "GET") {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.size)
+        }
+        return request
+    }
+}
+
+private class ReplyCollector : AttemptListener {
+    val result = CompletableDeferred<Result<HttpExchangeReply, HttpExchangeFailure>>()
+    private val body = ByteArrayOutputStream()
+    private var head: HttpResponse? = null
+
+    override fun onHead(response: HttpResponse) {
+        head = response
+    }
+
+    override fun onBody(content: ByteBuf) {
+        content.readBytes(body, content.readableBytes())
+    }
+
+    override fun onEnd() {
+        val response = checkNotNull(head) { "an answer ends after its head" }
+        val headers = response.headers().associate { it.key.lowercase() to it.value }
+        result.complete(Ok(HttpExchangeReply(response.status().code(), headers, body.toByteArray())))
+    }
+
+    override fun onFailure(failure: AttemptFailure) {
+        result.complete(Err(HttpExchangeFailure(failure.wasSent, failure.reason)))
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetChannels.kt
@@ -0,0 +1,174 @@
+package org.banyanturn.entry.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import jdk.net.ExtendedSocketOptions
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.platform.hosted.SocketAddressText
+
+/**
+ * Settings of the connections to targets and to the store.
+ *
+ * @property connectTimeoutMillis how long a new connection may take; a round trip between zones takes about 10 ms.
+ * @property maxIdleMillis how long an idle connection is kept if the target names no shorter time.
+ * @property keepAliveSeconds silence on a connection after which the kernel probes it, and between probes.
+ */
+internal data class ChannelSettings(
+    val connectTimeoutMillis: Int = 400,
+    val maxIdleMillis: Long = 4_000,
+    val keepAliveSeconds: Int = 1,
+    val keepAliveProbes: Int = 2,
+)
+
+/** Part of a target's own idle timeout for which a connection is used again, so that it is not closed meanwhile. */
+private const val IDLE_TIMEOUT_FRACTION = 0.7
+
+private const val MAX_LINE_BYTES = 16_384
+private const val MAX_HEADER_BYTES = 65_536
+private const val MAX_CHUNK_BYTES = 16_384
+
+/** The connections to targets, kept open between attempts. */
+internal class TargetChannels(
+    loop: EventLoop,
+    private val clock: ProcessClock,
+    private val settings: ChannelSettings = ChannelSettings(),
+) {
+    private val idle = HashMap<SocketAddressText, ArrayDeque<TargetConnection>>()
+    private val openByAddress = HashMap<SocketAddressText, Int>()
+    private val bootstrap = Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), settings.keepAliveSeconds)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), settings.keepAliveSeconds)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), settings.keepAliveProbes)
+
+    /** How many connections were opened. */
+    var openedConnections: Long = 0
+        private set
+
+    /** Returns how many connections to [address] are open, in use or idle. */
+    fun openConnections(address: SocketAddressText): Int = openByAddress[address] ?: 0
+
+    /** Sends [request], which is released, to [address]; [listener] learns what becomes of it. */
+    fun send(
+        address: SocketAddressText,
+        request: FullHttpRequest,
+        matcher: AnswerMatcher,
+        listener: AttemptListener,
+        maxIdleMillis: Long = settings.maxIdleMillis,
+    ): TargetAttempt {
+        val kept = takeIdleOrNull(address, maxIdleMillis)
+        if (kept != null) return kept.send(request, matcher, listener)
+        return PendingAttempt(address, request, matcher, listener).also { it.connect() }
+    }
+
+    private fun takeIdleOrNull(address: SocketAddressText, maxIdleMillis: Long): TargetConnection? {
+        val connections = idle[address] ?: return null
+        while (connections.isNotEmpty()) {
+            val connection = connections.removeLast()
+            if (connection.isUsable && isFresh(connection, maxIdleMillis)) return connection
+            connection.close()
+        }
+        return null
+    }
+
+    private fun isFresh(connection: TargetConnection, maxIdleMillis: Long): Boolean {
+        val announced = connection.idleTimeoutMillis?.let { (it * IDLE_TIMEOUT_FRACTION).toLong() }
+        val limitMillis = minOf(announced ?: settings.maxIdleMillis, maxIdleMillis)
+        return clock.nowMillis() - connection.idleSinceMillis < limitMillis
+    }
+
+    /** Closes the connections that have been idle for too long; called about once a second. */
+    fun closeStale() {
+        idle.values.forEach { connections ->
+            val stale = connections.filterNot { it.isUsable && isFresh(it, settings.maxIdleMillis) }
+            connections.removeAll(stale)
+            stale.forEach { it.close() }
+        }
+        idle.values.removeIf { it.isEmpty() }
+    }
+
+    /** Closes the idle connections to [address], whose target has gone. */
+    fun closeIdle(address: SocketAddressText) {
+        idle.remove(address)?.forEach { it.close() }
+    }
+
+    private fun keep(address: SocketAddressText, connection: TargetConnection) {
+        connection.idleSinceMillis = clock.nowMillis()
+        idle.getOrPut(address) { ArrayDeque() }.addLast(connection)
+    }
+
+    private fun forget(address: SocketAddressText, connection: TargetConnection) {
+        idle[address]?.remove(connection)
+        openByAddress.computeIfPresent(address) { _, count -> if (count > 1) count - 1 else null }
+    }
+
+    /** An attempt whose connection is being opened. */
+    private inner class PendingAttempt(
+        private val address: SocketAddressText,
+        private val request: FullHttpRequest,
+        private val matcher: AnswerMatcher,
+        private val listener: AttemptListener,
+    ) : TargetAttempt {
+        private var connecting: ChannelFuture? = null
+        private var sent: TargetAttempt? = null
+        private var isCancelled = false
+
+        fun connect() {
+            openedConnections++
+            openByAddress.merge(address, 1, Int::plus)
+            var connection: TargetConnection? = null
+            val attempt = bootstrap.clone().handler(
+                object : ChannelInitializer<Channel>() {
+                    override fun initChannel(channel: Channel) {
+                        connection = TargetConnection(
+                            channel,
+                            onIdle = { keep(address, it) },
+                            onClosed = { forget(address, it) },
+                        )
+                        channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        channel.pipeline().addLast(connection)
+                    }
+                },
+            ).connect(address.host, address.port)
+            connecting = attempt
+            attempt.addListener { done -> onConnected(done.isSuccess, done.cause(), connection) }
+        }
+
+        private fun onConnected(isSuccess: Boolean, cause: Throwable?, connection: TargetConnection?) {
+            if (!isSuccess || connection == null) {
+                openByAddress.computeIfPresent(address) { _, count -> if (count > 1) count - 1 else null }
+                request.release()
+                if (!isCancelled) {
+                    listener.onFailure(AttemptFailure(wasSent = false, AttemptFailureKind.CONNECT, "no connection: $cause"))
+                }
+                return
+            }
+            if (isCancelled) {
+                request.release()
+                return keep(address, connection)
+            }
+            sent = connection.send(request, matcher, listener)
+        }
+
+        override fun cancel() {
+            isCancelled = true
+            sent?.cancel()
+        }
+
+        override fun setReading(isReading: Boolean) {
+            sent?.setReading(isReading)
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -0,0 +1,85 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.banyanturn.entry.peers
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.protobuf.ProtoBuf
+import kotlinx.serialization.protobuf.ProtoNumber
+
+/** What one VM tells another in one datagram; it may be lost, late, repeated or overtaken. */
+@Serializable
+internal class PeerDatagram(
+    @ProtoNumber(1) val vmId: String,
+    @ProtoNumber(2) val incarnation: Long,
+    @ProtoNumber(3) val catalogVersion: Long,
+    @ProtoNumber(4) val reports: List<AllotmentReportMessage> = emptyList(),
+    @ProtoNumber(5) val grants: List<AllotmentGrantMessage> = emptyList(),
+    @ProtoNumber(6) val wants: List<CopyWantMessage> = emptyList(),
+    @ProtoNumber(7) val replies: List<CopyReplyMessage> = emptyList(),
+    @ProtoNumber(8) val uses: List<CopyUseMessage> = emptyList(),
+    @ProtoNumber(9) val crashRecords: List<String> = emptyList(),
+)
+
+/** A member's use at the sender, for the member's collector. */
+@Serializable
+internal class AllotmentReportMessage(
+    @ProtoNumber(1) val memberId: String,
+    @ProtoNumber(2) val number: Long,
+    @ProtoNumber(3) val usedCost: Double,
+    @ProtoNumber(4) val demandPerSecond: Double,
+    @ProtoNumber(5) val knownLevel: Double,
+)
+
+/** The collector's answer. */
+@Serializable
+internal class AllotmentGrantMessage(
+    @ProtoNumber(1) val memberId: String,
+    @ProtoNumber(2) val reportNumber: Long,
+    @ProtoNumber(3) val level: Double,
+    @ProtoNumber(4) val share: Double,
+    @ProtoNumber(5) val seenUsedCost: Double,
+)
+
+/** Asks the owner of [targetId] to load a copy there; sent again until it is answered. */
+@Serializable
+internal class CopyWantMessage(
+    @ProtoNumber(1) val number: Long,
+    @ProtoNumber(2) val targetId: String,
+    @ProtoNumber(3) val modelId: String,
+    @ProtoNumber(4) val adapterId: String = "",
+    @ProtoNumber(5) val isSpread: Boolean = false,
+)
+
+/** The owner's answer; [readyInMillis] is below 0 if the copy won't be loaded. */
+@Serializable
+internal class CopyReplyMessage(
+    @ProtoNumber(1) val number: Long,
+    @ProtoNumber(2) val readyInMillis: Long,
+    @ProtoNumber(3) val reason: String = "",
+)
+
+/** Says that the sender has used a copy lately. */
+@Serializable
+internal class CopyUseMessage(
+    @ProtoNumber(1) val targetId: String,
+    @ProtoNumber(2) val modelId: String,
+    @ProtoNumber(3) val adapterId: String = "",
+    @ProtoNumber(4) val openAttempts: Int = 0,
+)
+
+private val protoBuf = ProtoBuf { encodeDefaults = false }
+
+/** Returns the bytes of this datagram. */
+internal fun PeerDatagram.encode(): ByteArray = protoBuf.encodeToByteArray(PeerDatagram.serializer(), this)
+
+/** Returns the datagram in [bytes], or `null` if it can't be read. */
+internal fun decodePeerDatagramOrNull(bytes: ByteArray): PeerDatagram? =
+    try {
+        protoBuf.decodeFromByteArray(PeerDatagram.serializer(), bytes)
+    } catch (_: SerializationException) {
+        null
+    } catch (_: IllegalArgumentException) {
+        null
+    }
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
@@ -0,0 +1,76 @@
+package org.banyanturn.entry.requests
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+/**
+ * One whole event of a stream, with the blank line that ends it.
+ *
+ * @property id the number in its `id` line, or `null` if it has none.
+ */
+internal class StreamEvent(val bytes: ByteArray, val id: Long?)
+
+/** Cuts the bytes of a `text/event-stream` into whole events, so that a stream never stops inside one. */
+internal class EventSplitter {
+    private var pending = ByteArray(INITIAL_BYTES)
+    private var length = 0
+    private var scanned = 0
+
+    /** Whether bytes of an event that is not whole are left. */
+    val hasPartialEvent: Boolean
+        get() = length > 0
+
+    /** Adds [content] and passes each event that it completes to [onEvent]. */
+    fun add(content: ByteBuf, onEvent: (StreamEvent) -> Unit) {
+        append(content)
+        var end = endOfEventOrNull()
+        while (end != null) {
+            val bytes = pending.copyOf(end)
+            remove(end)
+            onEvent(StreamEvent(bytes, idOrNull(bytes)))
+            end = endOfEventOrNull()
+        }
+    }
+
+    /** Returns the bytes that belong to no whole event, and forgets them. */
+    fun takeRest(): ByteBuf = Unpooled.wrappedBuffer(pending.copyOf(length)).also { remove(length) }
+
+    private fun append(content: ByteBuf) {
+        val added = content.readableBytes()
+        if (length + added > pending.size) pending = pending.copyOf(maxOf(pending.size * 2, length + added))
+        content.readBytes(pending, length, added)
+        length += added
+    }
+
+    private fun remove(count: Int) {
+        pending.copyInto(pending, 0, count, length)
+        length -= count
+        scanned = 0
+    }
+
+    /** Returns the index after the first blank line, or `null` if there is none yet. */
+    private fun endOfEventOrNull(): Int? {
+        for (index in scanned until length) {
+            if (pending[index] == NEWLINE && isBlankLineBefore(index)) return index + 1
+        }
+        scanned = maxOf(0, length - 1)
+        return null
+    }
+
+    private fun isBlankLineBefore(index: Int): Boolean {
+        if (index >= 1 && pending[index - 1] == NEWLINE) return true
+        return index >= 2 && pending[index - 1] == CARRIAGE_RETURN && pending[index - 2] == NEWLINE
+    }
+
+    private fun idOrNull(event: ByteArray): Long? =
+        event.decodeToString().lineSequence()
+            .firstOrNull { it.startsWith(ID_FIELD) }
+            ?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
+
+    private companion object {
+        const val INITIAL_BYTES = 512
+        const val NEWLINE = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID_FIELD = "id:"
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -0,0 +1,122 @@
+package org.banyanturn.entry.requests
+
+import org.banyanturn.core.AdapterId
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.ZoneId
+import org.banyanturn.core.routing.CircuitBreakerSettings
+import org.banyanturn.core.routing.circuitBreakerOf
+import org.banyanturn.core.routing.targetLoadOf
+import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.EngineDirectory
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.platform.hosted.SocketAddressText
+import org.banyanturn.platform.hosted.parseSocketAddressOrNull
+
+/** A copy of a model, or of one of its adapters. */
+internal data class CopyName(val modelId: ModelId, val adapterId: AdapterId?) {
+    override fun toString(): String = adapterId?.let { "$modelId/$it" } ?: modelId.value
+}
+
+/** What this VM knows of one target from its own requests. */
+internal class TargetState(slots: Int, reportLifeMillis: Long, breakerSettings: CircuitBreakerSettings) {
+    var load = targetLoadOf(slots, reportLifeMillis)
+    var breaker = circuitBreakerOf(breakerSettings)
+
+    /** Copies whose presence is known otherwise than from the target's entry, and until when that holds. */
+    val copyNews = HashMap<CopyName, CopyNews>()
+
+    /** Attempts of this VM that are under way there. */
+    var openAttempts = 0
+}
+
+/** Word of a copy that is newer than the target's entry. */
+internal class CopyNews(val isPresent: Boolean, val untilMillis: Long)
+
+/** Lifetimes of what this VM believes of targets. */
+internal data class FleetViewSettings(
+    val engineReportLifeMillis: Long = 1_500,
+    val serviceReportLifeMillis: Long = 300,
+    val copyNewsMillis: Long = 3_000,
+    val breaker: CircuitBreakerSettings = CircuitBreakerSettings(
+        failuresToOpen = 3,
+        openMillis = 1_000,
+        maxOpenMillis = 8_000,
+        probeTimeoutMillis = 3_000,
+    ),
+)
+
+/** What this VM knows of the fleet; used on the event loop only. */
+internal class FleetView(
+    private val clock: ProcessClock,
+    val zoneId: ZoneId,
+    private val settings: FleetViewSettings = FleetViewSettings(),
+) {
+    private val states = HashMap<TargetId, TargetState>()
+    private val watchers = ArrayList<() -> Unit>()
+
+    /** What operators have declared, or `null` while it is not known. */
+    var catalog: Catalog? = null
+        private set
+
+    /** The targets that the platform lists. */
+    var directory = EngineDirectory.empty()
+        private set
+
+    /** Whether the list of targets was read at least once. */
+    var hasDirectory = false
+        private set
+
+    /** Calls [watcher] after each change. */
+    fun watch(watcher: () -> Unit) {
+        watchers += watcher
+    }
+
+    /** Takes over [newer] unless an equal or newer catalog is known, and returns whether it was taken. */
+    fun adopt(newer: Catalog): Boolean {
+        if (newer.version <= (catalog?.version ?: Long.MIN_VALUE)) return false
+        catalog = newer
+        notifyWatchers()
+        return true
+    }
+
+    /** Takes over a changed list of targets. */
+    fun adopt(changed: EngineDirectory) {
+        directory = changed
+        hasDirectory = true
+        states.keys.retainAll(changed.targets.keys + states.filterValues { it.openAttempts > 0 }.keys)
+        notifyWatchers()
+    }
+
+    /** Returns what is known of [target] from this VM's own requests. */
+    fun stateOf(target: KnownTarget): TargetState =
+        states.getOrPut(target.entry.targetId) {
+            val isEngine = catalog?.services?.get(target.entry.service)?.engine != null
+            val life = if (isEngine) settings.engineReportLifeMillis else settings.serviceReportLifeMillis
+            TargetState(target.entry.slots, life, settings.breaker)
+        }
+
+    /** Returns whether [target] is taken to hold [copy]. */
+    fun holds(target: KnownTarget, copy: CopyName): Boolean {
+        val news = stateOf(target).copyNews[copy]
+        if (news != null && clock.nowMillis() < news.untilMillis) return news.isPresent
+        val held = target.entry.heldModels[copy.modelId] ?: return false
+        return copy.adapterId == null || copy.adapterId in held.adapters
+    }
+
+    /** Notes that [copy] is or is not at [target], which goes before the target's entry for a while. */
+    fun noteCopy(target: KnownTarget, copy: CopyName, isPresent: Boolean) {
+        val untilMillis = clock.nowMillis() + settings.copyNewsMillis
+        stateOf(target).copyNews[copy] = CopyNews(isPresent, untilMillis)
+        notifyWatchers()
+    }
+
+    private fun notifyWatchers() {
+        watchers.forEach { it() }
+    }
+}
+
+/** The address of a target; entries without a valid one are never listed. */
+internal val KnownTarget.socketAddress: SocketAddressText
+    get() = checkNotNull(parseSocketAddressOrNull(entry.address)) { "entry without address: ${entry.targetId}" }
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -0,0 +1,187 @@
+package org.banyanturn.entry.requests
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.delivery.AttemptEvidence
+import org.banyanturn.core.delivery.AttemptId
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.entry.http.AnswerMatcher
+import org.banyanturn.entry.http.AttemptFailure
+import org.banyanturn.entry.http.AttemptFailureKind
+import org.banyanturn.entry.http.AttemptListener
+import org.banyanturn.entry.http.TargetAttempt
+import org.banyanturn.platform.hosted.TargetAnswerHeaders
+import org.banyanturn.platform.hosted.isMisdirected
+import org.banyanturn.platform.hosted.readTargetAnswerHeaders
+
+/**
+ * One attempt to run a request at [target]: reads its answer and tells [receiver] what it is worth.
+ *
+ * @property callerAttemptId the id that a target's answer must bear, or `null` if the caller gave none.
+ */
+internal class OpenAttempt(
+    val attemptId: AttemptId,
+    val target: KnownTarget,
+    private val state: TargetState,
+    private val environment: RequestEnvironment,
+    private val receiver: AnswerReceiver,
+    private val sentAtMillis: Long,
+    private val callerAttemptId: String?,
+) : AttemptListener, AnswerMatcher {
+    private var attempt: TargetAttempt? = null
+    private var isSettled = false
+    private var head: HttpResponse? = null
+    private var said: TargetAnswerHeaders? = null
+    private var body: CompositeByteBuf? = null
+    private val events = EventSplitter()
+
+    /** How long the first part of the answer took. */
+    var firstPartMillis = 0L
+        private set
+
+    /** The head of the answer; to be asked for once it has come. */
+    val answerHead: HttpResponse
+        get() = checkNotNull(head) { "the answer has begun" }
+
+    private val isStreaming: Boolean
+        get() = receiver.isStream && answerHead.status().code() == STATUS_OK
+
+    /** Notes the attempt under way. */
+    fun begin(started: TargetAttempt) {
+        attempt = started
+    }
+
+    /** Returns how long the attempt has taken so far. */
+    fun elapsedMillis(): Long = environment.clock.nowMillis() - sentAtMillis
+
+    /** Returns the bytes that a stream left after its last whole event. */
+    fun takeRest(): ByteBuf = events.takeRest()
+
+    /** Gives the attempt up, by which the target learns that nobody waits. */
+    fun cancel() {
+        if (isSettled) return
+        settle()
+        attempt?.cancel()
+        releaseBody()
+    }
+
+    /** Stops or resumes reading the answer. */
+    fun setReading(isReading: Boolean) {
+        attempt?.setReading(isReading)
+    }
+
+    override fun matches(headers: HttpHeaders): Boolean {
+        val answered = readTargetAnswerHeaders(STATUS_OK, headers).attemptId
+        return answered == null || callerAttemptId == null || answered == callerAttemptId
+    }
+
+    override fun onHead(response: HttpResponse) {
+        val headers = readTargetAnswerHeaders(response.status().code(), response.headers())
+        head = response
+        said = headers
+        firstPartMillis = elapsedMillis()
+        headers.load?.let {
+            state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
+        }
+    }
+
+    override fun onBody(content: ByteBuf) {
+        if (isSettled) return
+        if (!isStreaming) return collect(content)
+        events.add(content) { event -> if (!isSettled) receiver.onStreamPart(this, event) }
+    }
+
+    private fun collect(content: ByteBuf) {
+        val collected = body ?: Unpooled.compositeBuffer(MAX_PARTS).also { body = it }
+        collected.addComponent(true, content.retain())
+    }
+
+    override fun onEnd() {
+        if (isSettled) return
+        val headers = checkNotNull(said) { "an answer ends after its head" }
+        val code = answerHead.status().code()
+        settle()
+        when {
+            headers.isNotRun -> refused(code)
+            code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
+            isStreaming -> succeed { receiver.onStreamEnd(this) }
+            code in SUCCESS -> succeed { receiver.onWholeAnswer(this, takeAnswer()) }
+            else -> failingAnswer(code)
+        }
+        environment.waitingRoom.serve()
+    }
+
+    private fun succeed(tell: () -> Unit) {
+        state.breaker = state.breaker.firstToken(firstPartMillis.toDouble(), null, environment.clock.nowMillis())
+        tell()
+    }
+
+    private fun refused(code: Int) {
+        val copy = receiverCopy()
+        if (isMisdirected(code) && copy != null) environment.view.noteCopy(target, copy, isPresent = false)
+        fail(AttemptEvidence.REFUSED, "not run, status $code")
+    }
+
+    private fun receiverCopy(): CopyName? = (receiver as? WaitingRequest)?.need?.copy
+
+    /** A target's own failure: repeated where that does no harm, and otherwise the caller's answer. */
+    private fun failingAnswer(code: Int) {
+        if (code >= FIRST_SERVER_ERROR) noteFailure()
+        val promisesNotRun = code in NOT_RUN_PROMISES
+        when {
+            receiver.mayRepeat && code >= FIRST_SERVER_ERROR -> fail(AttemptEvidence.RAN, "status $code", takeAnswer())
+            promisesNotRun && !receiver.mayRepeat -> fail(AttemptEvidence.RAN, "status $code after a run")
+            else -> receiver.onWholeAnswer(this, takeAnswer())
+        }
+    }
+
+    private fun takeAnswer(): TargetAnswer {
+        val content = body ?: Unpooled.EMPTY_BUFFER
+        body = null
+        return TargetAnswer(answerHead.status().code(), answerHead.headers(), content)
+    }
+
+    override fun onFailure(failure: AttemptFailure) {
+        if (isSettled) return
+        settle()
+        noteFailure()
+        val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
+        if (failure.kind == AttemptFailureKind.CONNECT) environment.channels.closeIdle(target.socketAddress)
+        fail(evidence, failure.reason)
+        environment.waitingRoom.serve()
+    }
+
+    private fun fail(evidence: AttemptEvidence, reason: String, failing: TargetAnswer? = null) {
+        environment.log.attemptFailed(attemptId.value, target.entry.targetId.value, evidence, reason, elapsedMillis())
+        releaseBody()
+        receiver.onFailed(this, evidence, failing)
+    }
+
+    private fun noteFailure() {
+        state.breaker = state.breaker.failed(environment.clock.nowMillis())
+    }
+
+    private fun settle() {
+        isSettled = true
+        state.load = state.load.ended(attemptId.value, environment.clock.nowMillis())
+        state.openAttempts--
+    }
+
+    private fun releaseBody() {
+        body?.release()
+        body = null
+    }
+
+    private companion object {
+        const val STATUS_OK = 200
+        const val FIRST_SERVER_ERROR = 500
+        const val MAX_PARTS = 1_024
+        val SUCCESS = 200..299
+
+        /** Statuses by which a caller understands that its request has not run. */
+        val NOT_RUN_PROMISES = setOf(408, 421, 429, 503)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -0,0 +1,50 @@
+package org.banyanturn.entry.requests
+
+import io.netty.channel.EventLoop
+import org.banyanturn.core.MemberId
+import org.banyanturn.core.delivery.RequestMachine
+import org.banyanturn.core.delivery.RetryPolicy
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.http.TargetChannels
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.observe.EntryMetrics
+import kotlin.random.Random
+
+/** What all requests of this VM share; used on the event loop only. */
+internal class RequestEnvironment(
+    val clock: ProcessClock,
+    val loop: EventLoop,
+    val view: FleetView,
+    val channels: TargetChannels,
+    val placement: TargetPlacement,
+    val waitingRoom: WaitingRoom,
+    val copyDesk: CopyDesk,
+    val limits: MemberLimits,
+    val retries: ServiceRetries,
+    val log: DecisionLog,
+    val metrics: EntryMetrics,
+    val random: Random,
+) {
+    private val machines = HashMap<Pair<ServiceName, Int>, RequestMachine>()
+    private val timesByRoute = HashMap<String, RouteTimes>()
+
+    /** Returns the rules for requests to [service] that may go to [maxAttempts] targets. */
+    fun machineFor(service: ServiceName, maxAttempts: Int): RequestMachine =
+        machines.getOrPut(service to maxAttempts) {
+            val policy = RetryPolicy(maxAttempts, MAX_UNSENT_ATTEMPTS, BASE_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS)
+            RequestMachine(policy, { _, nowMillis -> retries.tryTake(service, nowMillis) }, random)
+        }
+
+    /** Returns how long requests of the route [name] take. */
+    fun timesOf(name: String): RouteTimes = timesByRoute.getOrPut(name) { RouteTimes() }
+
+    internal companion object {
+        const val MAX_UNSENT_ATTEMPTS = 4
+        const val BASE_BACKOFF_MILLIS = 2L
+        const val MAX_BACKOFF_MILLIS = 40L
+
+        /** Stands for all callers of routes that need no key. */
+        val PUBLIC_MEMBER = MemberId("public")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -0,0 +1,112 @@
+package org.banyanturn.entry.requests
+
+import org.banyanturn.core.delivery.RefusalReason
+import org.banyanturn.core.limits.RateDecision
+import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.MemberTerms
+import org.banyanturn.core.serving.Route
+import org.banyanturn.core.serving.RouteTarget
+import org.banyanturn.entry.http.CallerExchange
+import org.banyanturn.platform.hosted.CallerHeaders
+import org.banyanturn.platform.hosted.readCallerHeaders
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/** When a caller is told to come back to a VM that does not know yet what it serves. */
+private const val UNREADY_RETRY_MILLIS = 500L
+
+/** How often a request that waits for room in its member's limit is looked at again. */
+private const val LIMIT_POLL_MILLIS = 10L
+
+/** Returns of callers that were refused for their limit are spread over this part of the wait. */
+private const val RETURN_SPREAD = 0.5
+
+/** Decides on each request on arrival: whether it is known, may run, and when. */
+internal class RequestHandler(private val environment: RequestEnvironment) {
+    /** Takes a caller's request. */
+    fun onRequest(exchange: CallerExchange) {
+        val call = readCallerHeaders(exchange.head.headers())
+        environment.metrics.requests.inc()
+        val catalog = environment.view.catalog
+        if (catalog == null || !environment.view.hasDirectory) {
+            return refuse(exchange, call, OwnRefusal.notReady(UNREADY_RETRY_MILLIS))
+        }
+        val route = routeOrNull(catalog, exchange) ?: return refuse(exchange, call, OwnRefusal.NoRoute)
+        val member = call.key?.let(catalog::memberOrNull)
+        if (member == null && catalog.hasMembers && !route.isPublic) return refuse(exchange, call, OwnRefusal.UnknownKey)
+        val admission = Admission(exchange, call, route, member.takeUnless { route.isPublic && call.key == null })
+        if (admission.member != null) environment.limits.recordArrival(admission.member, admission.cost, now())
+        admit(admission)
+    }
+
+    private fun routeOrNull(catalog: Catalog, exchange: CallerExchange): Route? {
+        val host = exchange.head.headers()["Host"].orEmpty().substringBefore(':').lowercase()
+        val path = exchange.head.uri().substringBefore('?')
+        return catalog.routeOrNull(host, path)
+    }
+
+    private fun admit(admission: Admission) {
+        if (admission.exchange.hasEnded) return
+        val member = admission.member ?: return start(admission)
+        val arrivedAtMillis = admission.exchange.arrivedAtMillis
+        when (val decision = environment.limits.tryAcquire(member, admission.cost, now(), arrivedAtMillis)) {
+            RateDecision.Admitted -> start(admission)
+            is RateDecision.Undecided -> admitLater(admission)
+            is RateDecision.Refused -> refuseOverLimit(admission, decision.retryAfterMillis)
+            RateDecision.Impossible -> refuseOverLimit(admission, UNREADY_RETRY_MILLIS)
+        }
+    }
+
+    private fun admitLater(admission: Admission) {
+        environment.loop.schedule({ admit(admission) }, LIMIT_POLL_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun refuseOverLimit(admission: Admission, retryAfterMillis: Long) {
+        val spreadMillis = spread(retryAfterMillis, environment.random)
+        refuse(admission.exchange, admission.call, OwnRefusal.OverLimit(retryAfterMillis + spreadMillis))
+    }
+
+    private fun start(admission: Admission) {
+        val target = pickTarget(admission.route.targets, environment.random)
+            ?: return refuse(admission.exchange, admission.call, OwnRefusal.NoRoute)
+        environment.retries.recordRequest(target.service, now())
+        ServedRequest(admission, target.service, environment).start()
+    }
+
+    private fun refuse(exchange: CallerExchange, call: CallerHeaders, refusal: OwnRefusal) {
+        environment.log.refused(call.attemptId, refusal, now() - exchange.arrivedAtMillis)
+        environment.metrics.refused(refusal.reason)
+        exchange.answerRefusal(refusal, call.attemptId)
+    }
+
+    private fun now(): Long = environment.clock.nowMillis()
+}
+
+private fun pickTarget(targets: List<RouteTarget>, random: Random): RouteTarget? {
+    if (targets.size <= 1) return targets.firstOrNull()
+    var draw = random.nextDouble() * targets.sumOf { it.weight }
+    return targets.firstOrNull { target ->
+        draw -= target.weight
+        draw < 0
+    } ?: targets.last()
+}
+
+/** Returns a random addition to [millis], so that callers who were refused together do not come back together. */
+internal fun spread(millis: Long, random: Random): Long = (millis * RETURN_SPREAD * random.nextDouble()).toLong()
+
+/** A request that its member may send; [cost] is what it counts against the member's limit. */
+internal class Admission(
+    val exchange: CallerExchange,
+    val call: CallerHeaders,
+    val route: Route,
+    val member: MemberTerms?,
+) {
+    val cost: Double = when {
+        member == null -> 0.0
+        member.countsTokens -> call.tokens?.total?.toDouble() ?: member.plainCost
+        else -> 1.0
+    }
+}
+
+/** Maps a refusal of the delivery rules to the reason that callers and logs see. */
+internal fun RefusalReason.logName(): String = name.lowercase()
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -0,0 +1,321 @@
+package org.banyanturn.entry.requests
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.delivery.AnswerChunk
+import org.banyanturn.core.delivery.AttemptEvidence
+import org.banyanturn.core.delivery.AttemptId
+import org.banyanturn.core.delivery.DeliveryRequest
+import org.banyanturn.core.delivery.Refusal
+import org.banyanturn.core.delivery.RequestDecision
+import org.banyanturn.core.delivery.RequestEvent
+import org.banyanturn.core.delivery.RequestId
+import org.banyanturn.core.delivery.RequestLife
+import org.banyanturn.core.delivery.RequestOutcome
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.RouteKind
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.entry.http.CallerListener
+import org.banyanturn.platform.hosted.TargetHeaders
+import org.banyanturn.platform.hosted.targetRequestHeaders
+import java.util.concurrent.TimeUnit
+
+/** Names requests on this VM whose caller gave no id. */
+private var nextUnnamed = 0L
+
+/** The life of one request from its admission to its final answer; used on the event loop only. */
+internal class ServedRequest(
+    private val admission: Admission,
+    private val service: ServiceName,
+    private val environment: RequestEnvironment,
+) : WaitingRequest, CallerListener, AnswerReceiver {
+    private val exchange = admission.exchange
+    private val route = admission.route
+    private val machine = environment.machineFor(service, route.maxAttempts)
+    private val deadlineMillis = exchange.arrivedAtMillis +
+        minOf(admission.call.timeoutMillis ?: route.timeoutMillis, route.timeoutMillis)
+    private val memberId = admission.member?.memberId
+    private val times = environment.timesOf(route.name)
+    private val copy = copyOrNull()
+    private val affinityKey = affinityKey()
+    private var life = RequestLife(
+        DeliveryRequest(requestId(), memberId, route.mayRepeat, idempotencyKey = null, deadlineMillis),
+    )
+    private var avoided: Set<TargetId> = emptySet()
+    private var current: OpenAttempt? = null
+    private var answer: TargetAnswer? = null
+    private var lastTarget: KnownTarget? = null
+    private val relay = EventRelay(exchange)
+    private val timers = ArrayList<ScheduledFuture<*>>()
+    private var isWaiting = false
+
+    /** The caller's id of this attempt, or one made here. */
+    val id: String
+        get() = life.request.requestId.value
+
+    override val need: TargetNeed
+        get() = TargetNeed(service, copy, affinityKey, avoided)
+
+    private fun requestId() = RequestId(admission.call.attemptId?.takeIf { it.isNotBlank() } ?: "unnamed-${nextUnnamed++}")
+
+    private fun copyOrNull(): CopyName? {
+        val isEngine = environment.view.catalog?.services?.get(service)?.engine != null
+        val modelId = admission.call.modelId ?: return null
+        return if (isEngine) CopyName(modelId, admission.call.adapterId) else null
+    }
+
+    private fun affinityKey(): String =
+        copy?.adapterId?.let { copy.toString() } ?: "$copy/${admission.call.promptParts.firstOrNull()?.id}"
+
+    /** Begins to serve the request. */
+    fun start() {
+        exchange.listener = this
+        handle(RequestEvent.Started)
+    }
+
+    private fun handle(event: RequestEvent) {
+        val step = machine.step(life, event, now())
+        life = step.life
+        step.decisions.forEach(::carryOut)
+        if (life.isEnded) release()
+    }
+
+    private fun carryOut(decision: RequestDecision) {
+        when (decision) {
+            is RequestDecision.ChooseTarget -> chooseTarget(decision.avoidedTargets)
+
+            is RequestDecision.SendAttempt -> send(decision.attemptId)
+
+            is RequestDecision.WaitUntil -> wakeAt(decision.atMillis)
+
+            is RequestDecision.Forward -> Unit
+
+            is RequestDecision.FinishStream -> finishStream()
+
+            is RequestDecision.Answer -> deliverAnswer()
+
+            is RequestDecision.Refuse -> refuse(decision.refusal, decision.endsStream)
+
+            is RequestDecision.CancelAttempt -> current?.cancel()
+
+            RequestDecision.Reserve, RequestDecision.AwaitOutcome, is RequestDecision.RecordOutcome -> Unit
+        }
+    }
+
+    private fun wakeAt(atMillis: Long) {
+        val delayMillis = (atMillis - now()).coerceAtLeast(0)
+        timers += environment.loop.schedule({ handle(RequestEvent.TimeReached) }, delayMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun chooseTarget(avoidedTargets: Set<TargetId>) {
+        avoided = avoidedTargets
+        when (val placed = environment.placement.place(need)) {
+            is Placement.Send -> onTarget(placed.target)
+            Placement.Busy -> waitForRoom()
+            is Placement.CopyMissing -> waitForCopy(placed)
+            Placement.NoTarget -> refuseForNow("no_target", RequestLimits.NO_TARGET_RETRY_MILLIS)
+        }
+    }
+
+    private fun waitForRoom() {
+        val startByMillis = deadlineMillis - times.wholeAnswerMillis()
+        val patienceMillis = minOf(startByMillis - now(), route.targetLatencyMillis)
+        if (patienceMillis <= 0) return refuseForNow("busy", times.wholeAnswerMillis())
+        join(now() + patienceMillis)
+    }
+
+    private fun waitForCopy(missing: Placement.CopyMissing) {
+        when (val outlook = environment.copyDesk.want(need, missing.modelHolders)) {
+            is CopyOutlook.Unavailable -> refuseForNow("no_copy", outlook.retryAfterMillis)
+
+            is CopyOutlook.Coming -> {
+                val startByMillis = deadlineMillis - times.wholeAnswerMillis()
+                if (now() + outlook.readyInMillis > startByMillis) {
+                    refuseForNow("copy_too_late", outlook.readyInMillis)
+                } else {
+                    join(startByMillis)
+                }
+            }
+        }
+    }
+
+    private fun join(startByMillis: Long) {
+        isWaiting = true
+        environment.log.waits(id, service.value, copy?.toString(), startByMillis - now())
+        environment.waitingRoom.join(id, memberId ?: RequestEnvironment.PUBLIC_MEMBER, this, startByMillis)
+    }
+
+    private fun refuseForNow(reason: String, retryAfterMillis: Long) {
+        environment.log.notPlaced(id, reason, service.value, copy?.toString())
+        handle(RequestEvent.NoTarget(retryAfterMillis + spread(retryAfterMillis, environment.random)))
+    }
+
+    override fun onTarget(target: KnownTarget) {
+        isWaiting = false
+        lastTarget = target
+        handle(RequestEvent.TargetChosen(target.entry.targetId))
+    }
+
+    override fun onWaitOver() {
+        isWaiting = false
+        refuseForNow("waited", times.wholeAnswerMillis())
+    }
+
+    private fun send(attemptId: AttemptId) {
+        val target = checkNotNull(lastTarget) { "a target was chosen" }
+        val state = environment.view.stateOf(target)
+        val request = requestTo(target)
+        state.load = state.load.sent(attemptId.value, now())
+        state.breaker = state.breaker.requestSent(now())
+        state.openAttempts++
+        environment.log.sent(id, attemptId.value, target.entry, state.load.requestsAt(now()), now() - exchange.arrivedAtMillis)
+        val open = OpenAttempt(attemptId, target, state, environment, this, now(), admission.call.attemptId)
+        current = open
+        val maxIdleMillis = if (route.mayRepeat) RequestLimits.KEPT_IDLE_MILLIS else RequestLimits.ONCE_IDLE_MILLIS
+        open.begin(environment.channels.send(target.socketAddress, request, open, open, maxIdleMillis))
+    }
+
+    private fun requestTo(target: KnownTarget): DefaultFullHttpRequest {
+        val head = exchange.head
+        val added = TargetHeaders(
+            targetId = target.entry.targetId.value,
+            member = memberId?.value,
+            remainingMillis = deadlineMillis - now(),
+            lastEventId = relay.lastEventId?.toString(),
+            rank = admission.member?.rank ?: route.rank,
+        )
+        val headers = targetRequestHeaders(head.headers(), added)
+        val body = exchange.body.retainedDuplicate()
+        if (body.isReadable || head.method() != HttpMethod.GET) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        }
+        return DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers, EmptyHttpHeaders.INSTANCE,
+        )
+    }
+
+    override fun onStreamPart(attempt: OpenAttempt, event: StreamEvent) {
+        if (attempt !== current || !relay.pass(event, attempt.answerHead)) return
+        val index = life.answer.deliveredTokens
+        handle(RequestEvent.ChunkReceived(AnswerChunk.Token(attempt.attemptId, index, text = "")))
+        if (!exchange.isWritable) attempt.setReading(false)
+    }
+
+    override val isStream: Boolean
+        get() = route.kind == RouteKind.STREAM
+
+    override val mayRepeat: Boolean
+        get() = route.mayRepeat
+
+    override fun onStreamEnd(attempt: OpenAttempt) {
+        if (attempt !== current) return
+        relay.passRest(attempt.takeRest(), attempt.answerHead)
+        current = null
+        times.record(attempt.firstPartMillis, attempt.elapsedMillis())
+        val deliveredEvents = life.answer.deliveredTokens
+        handle(RequestEvent.ChunkReceived(AnswerChunk.Finished(attempt.attemptId, deliveredEvents, finishReason = "")))
+    }
+
+    override fun onWholeAnswer(attempt: OpenAttempt, whole: TargetAnswer) {
+        if (attempt !== current) return whole.release()
+        current = null
+        keepAnswer(whole)
+        times.record(attempt.firstPartMillis, attempt.elapsedMillis())
+        handle(RequestEvent.AttemptAnswered(attempt.attemptId, whole.toOutcome()))
+    }
+
+    override fun onFailed(attempt: OpenAttempt, evidence: AttemptEvidence, failing: TargetAnswer?) {
+        if (attempt !== current) {
+            failing?.release()
+            return
+        }
+        current = null
+        failing?.let(::keepAnswer)
+        handle(RequestEvent.AttemptFailed(attempt.attemptId, evidence))
+    }
+
+    private fun keepAnswer(kept: TargetAnswer) {
+        answer?.release()
+        answer = kept
+    }
+
+    private fun deliverAnswer() {
+        val whole = answer ?: return
+        answer = null
+        environment.log.answered(id, whole.statusCode, now() - exchange.arrivedAtMillis, life.attempts)
+        exchange.answer(whole.statusCode, whole.callerHeaders(), whole.body)
+    }
+
+    private fun finishStream() {
+        environment.log.answered(id, STATUS_OK, now() - exchange.arrivedAtMillis, life.attempts)
+        exchange.finish()
+    }
+
+    private fun refuse(refusal: Refusal, endsStream: Boolean) {
+        val isAbort = endsStream || relay.hasStarted
+        val targetsOwn = answer
+        when {
+            isAbort -> {
+                environment.log.aborted(id, refusal.reason.logName(), now() - exchange.arrivedAtMillis)
+                exchange.abort()
+            }
+
+            targetsOwn != null && refusal.outcome != RequestOutcome.NOT_RUN -> deliverAnswer()
+
+            else -> answerRefusal(OwnRefusal.of(refusal))
+        }
+    }
+
+    private fun answerRefusal(refusal: OwnRefusal) {
+        environment.log.refused(id, refusal, now() - exchange.arrivedAtMillis)
+        environment.metrics.refused(refusal.reason)
+        if (refusal.outcome == RequestOutcome.NOT_RUN) admission.member?.let { environment.limits.refund(it, admission.cost) }
+        exchange.answerRefusal(refusal, admission.call.attemptId)
+    }
+
+    /** Returns whether an attempt that nobody waits for any more is to be stopped: all but calls that run once. */
+    private fun stopsWithCaller(): Boolean = isStream || route.mayRepeat
+
+    override fun onCallerGone() {
+        environment.log.callerGone(id, now() - exchange.arrivedAtMillis)
+        if (stopsWithCaller()) current?.cancel()
+        handle(RequestEvent.CallerGone)
+    }
+
+    override fun onWritable(isWritable: Boolean) {
+        current?.setReading(isWritable)
+    }
+
+    private fun release() {
+        timers.forEach { it.cancel(false) }
+        timers.clear()
+        if (isWaiting) environment.waitingRoom.leave(id)
+        isWaiting = false
+        answer?.release()
+        answer = null
+        if (stopsWithCaller()) current?.cancel()
+    }
+
+    private fun now(): Long = environment.clock.nowMillis()
+
+    private companion object {
+        const val STATUS_OK = 200
+    }
+}
+
+/** Times that requests are served by. */
+internal object RequestLimits {
+    /** When a caller comes back to a service of which no target takes requests. */
+    const val NO_TARGET_RETRY_MILLIS = 1_000L
+
+    /** How long a connection may have been idle before a request that may be repeated is sent on it. */
+    const val KEPT_IDLE_MILLIS = 4_000L
+
+    /** The same for a request that may run once: a connection that breaks leaves its outcome unknown. */
+    const val ONCE_IDLE_MILLIS = 1_000L
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServiceRetries.kt
@@ -0,0 +1,16 @@
+package org.banyanturn.entry.requests
+
+import org.banyanturn.core.admission.FleetRetryBudget
+import org.banyanturn.core.admission.FleetRetryLimit
+import org.banyanturn.core.serving.ServiceName
+
+/** This VM's retry budgets, one for each service. */
+internal class ServiceRetries(private val limit: FleetRetryLimit, private val vmCount: () -> Int) {
+    private val budgets = HashMap<ServiceName, FleetRetryBudget>()
+
+    fun recordRequest(service: ServiceName, nowMillis: Long): Unit = budgetOf(service).recordRequest(nowMillis)
+
+    fun tryTake(service: ServiceName, nowMillis: Long): Boolean = budgetOf(service).tryTake(vmCount(), nowMillis)
+
+    private fun budgetOf(service: ServiceName): FleetRetryBudget = budgets.getOrPut(service) { FleetRetryBudget(limit) }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -0,0 +1,78 @@
+package org.banyanturn.entry.requests
+
+import org.banyanturn.core.MemberId
+import org.banyanturn.core.queueing.FairQueue
+import org.banyanturn.core.queueing.QueuedRequest
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.daemon.ProcessClock
+
+/** A request that waits for a target. */
+internal interface WaitingRequest {
+    /** What it needs of a target. */
+    val need: TargetNeed
+
+    /** Goes on at [target]. */
+    fun onTarget(target: KnownTarget)
+
+    /** Has waited as long as made sense. */
+    fun onWaitOver()
+}
+
+/** The copies or services that requests wait for, one queue for each. */
+private data class LaneKey(val service: ServiceName, val copy: CopyName?)
+
+/** Requests that wait for a target, with fair turns between members; used on the event loop only. */
+internal class WaitingRoom(private val placement: TargetPlacement, private val clock: ProcessClock) {
+    private val lanes = LinkedHashMap<LaneKey, FairQueue>()
+    private val requests = HashMap<String, WaitingRequest>()
+    private var isServing = false
+
+    /** How many requests wait. */
+    val size: Int
+        get() = requests.size
+
+    /** Returns how many requests wait for what [need] asks for. */
+    fun waitingFor(need: TargetNeed): Int = lanes[laneOf(need)]?.size ?: 0
+
+    /** Lets [request] wait until [startByMillis]. */
+    fun join(id: String, memberId: MemberId, request: WaitingRequest, startByMillis: Long) {
+        val lane = lanes.getOrPut(laneOf(request.need)) { FairQueue() }
+        if (lane.offer(QueuedRequest(id, memberId, cost = 1.0, deadlineMillis = startByMillis))) requests[id] = request
+    }
+
+    /** Ends the wait of a request that is given up. */
+    fun leave(id: String) {
+        val request = requests.remove(id) ?: return
+        lanes[laneOf(request.need)]?.removeOrNull(id)
+    }
+
+    /** Gives targets to the requests whose turn it is, and ends the waits that are over. */
+    fun serve() {
+        if (isServing) return
+        isServing = true
+        try {
+            val nowMillis = clock.nowMillis()
+            lanes.values.toList().forEach { lane -> serveLane(lane, nowMillis) }
+            lanes.values.removeIf { it.size == 0 }
+        } finally {
+            isServing = false
+        }
+    }
+
+    private fun serveLane(lane: FairQueue, nowMillis: Long) {
+        lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
+        val sample = lane.toList().firstOrNull() ?: return
+        val need = requests[sample.requestId]?.need ?: return
+        while (lane.size > 0 && placement.place(need) is Placement.Send) {
+            val request = lane.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
+            when (val placed = placement.place(request.need)) {
+                is Placement.Send -> request.onTarget(placed.target)
+                else -> request.onWaitOver()
+            }
+        }
+        lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
+    }
+
+    private fun laneOf(need: TargetNeed): LaneKey = LaneKey(need.service, need.copy)
+}
