--- a/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -27,12 +27,14 @@
  * @property number counts the VM's reports.
  * @property usedCost cost units that this life of the VM has admitted in all.
  * @property demandPerSecond cost units a second that arrive at the VM, refused ones included.
+ * @property neededCost cost units of the requests that wait at the VM.
  * @property knownLevel the member's unused cost units as the VM last heard of them, for a collector that starts.
  */
 public data class AllotmentReport(
     val number: Long,
     val usedCost: Double,
     val demandPerSecond: Double,
+    val neededCost: Double,
     val knownLevel: Double,
 )
 
@@ -42,12 +44,14 @@
  * @property reportNumber the report that is answered.
  * @property level cost units of the member that no VM has used; below 0 after more was admitted than the limit allows.
  * @property share part of the limit that the VM may use, from 0 to 1, by its part of the demand.
+ * @property tokens cost units that the VM may use at once.
  * @property seenUsedCost what the VM had admitted as far as the collector knows.
  */
 public data class AllotmentGrant(
     val reportNumber: Long,
     val level: Double,
     val share: Double,
+    val tokens: Double,
     val seenUsedCost: Double,
 )
 
@@ -61,28 +65,32 @@
  *
  * Load pattern: a member's requests are spread unevenly over the VMs, and one member sends many times its rate. Each VM
  * admits at its part of the rate, which follows its part of the demand, without asking for single requests; a request
- * that finds no room waits briefly while the VM reports, and is refused if the member is truly at its limit. A VM that
+ * that finds no room waits briefly while the VM asks for it, and is refused if the member is truly at its limit. A VM that
  * doesn't hear from the collector admits an equal part, so that all VMs together keep to the limit.
+ *
+ * @param initialFraction part of the burst that is taken to be unused when this VM starts: all of it when the whole
+ * deployment starts, less when what was used before is not known.
  */
 public class AllotmentShare(
     ratePerSecond: Double,
     burst: Double,
     private val settings: AllotmentSettings,
     nowMillis: Long,
+    initialFraction: Double,
 ) {
     private var ratePerSecond = ratePerSecond
     private var burst = burst
     private val demand = DemandMeter()
     private var share: Double? = null
     private var tokens = 0.0
-    private var knownLevel = 0.0
+    private var knownLevel = burst * initialFraction
     private var usedCost = 0.0
     private var refilledAtMillis = nowMillis
     private var grantAtMillis: Long? = null
     private var reportNumber = 0L
     private var appliedReport = 0L
     private var reportedAtMillis: Long? = null
-    private var isShort = false
+    private var neededCost = 0.0
 
     /** Takes over a changed limit. */
     public fun setLimit(newRatePerSecond: Double, newBurst: Double, vmCount: Int, nowMillis: Long) {
@@ -104,12 +112,16 @@
             usedCost += cost
             return RateDecision.Admitted
         }
-        isShort = true
         val untilMillis = arrivedAtMillis + settings.maxWaitMillis
         if (nowMillis < untilMillis) return RateDecision.Undecided(untilMillis)
         return RateDecision.Refused(roomAfterMillis(cost, vmCount, nowMillis))
     }
 
+    /** Says that requests with [cost] in all wait for room here. */
+    public fun setWaiting(cost: Double) {
+        neededCost = cost
+    }
+
     /** Takes back the [cost] of a request that was admitted and has not run. */
     public fun refund(cost: Double) {
         tokens = min(tokens + cost, burst)
@@ -146,14 +158,13 @@
         val isIdle = nowMillis - lastArrivalMillis > IDLE_MILLIS
         if (isIdle || sinceReportMillis < reportIntervalMillis()) return null
         reportedAtMillis = nowMillis
-        isShort = false
         reportNumber++
-        return AllotmentReport(reportNumber, usedCost, demand.ratePerSecond(nowMillis), knownLevel)
+        return AllotmentReport(reportNumber, usedCost, demand.ratePerSecond(nowMillis), neededCost, knownLevel)
     }
 
     private fun reportIntervalMillis(): Long =
         when {
-            isShort -> settings.urgentReportMillis
+            neededCost > 0 -> settings.urgentReportMillis
             share == null || knownLevel < BUSY_LEVEL_FRACTION * burst -> settings.busyReportMillis
             else -> settings.calmReportMillis
         }
@@ -167,7 +178,7 @@
         share = grant.share
         knownLevel = grant.level
         val unseenCost = max(0.0, usedCost - grant.seenUsedCost)
-        tokens = min(grant.level * grant.share, burst * grant.share) - unseenCost
+        tokens = grant.tokens - unseenCost
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -12,6 +12,9 @@
 /** How long a VM's last report counts. */
 private const val REPORT_LIFE_MILLIS = 3_000L
 
+/** How long cost units stay promised to a VM that has not reported their use. */
+private const val PROMISE_LIFE_MILLIS = 400L
+
 /** How long after its start a collector takes what VMs have admitted for spent before, and believes their levels. */
 private const val LEARNING_MILLIS = 1_500L
 
@@ -46,8 +49,15 @@
         val holder = known ?: HolderUse(if (isLearning) report.usedCost else 0.0).also { holders[from] = it }
         val before = level ?: min(burst, report.knownLevel)
         val believed = if (isLearning && known == null) min(before, max(0.0, report.knownLevel)) else before
-        level = believed - holder.advanceTo(report, nowMillis)
-        return AllotmentGrant(report.number, level ?: 0.0, shareOf(holder, vmCount, nowMillis), holder.usedCost)
+        val current = believed - holder.advanceTo(report, nowMillis)
+        level = current
+        val share = shareOf(holder, vmCount, nowMillis)
+        val promisedToOthers = holders.values.sumOf { if (it === holder) 0.0 else it.promisedCost }
+        val free = current - promisedToOthers
+        val part = min(free, burst) * share
+        val tokens = if (report.neededCost in part..free) report.neededCost else part
+        holder.promise(if (tokens > part) tokens else 0.0, nowMillis)
+        return AllotmentGrant(report.number, current, share, tokens, holder.usedCost)
     }
 
     private fun refill(nowMillis: Long) {
@@ -56,6 +66,7 @@
         level = level?.let { min(burst, it + filled) }
         refilledAtMillis = nowMillis
         holders.values.removeIf { nowMillis - it.heardAtMillis > REPORT_LIFE_MILLIS }
+        holders.values.forEach { it.dropOldPromise(nowMillis) }
     }
 
     private fun shareOf(holder: HolderUse, vmCount: Int, nowMillis: Long): Double {
@@ -73,8 +84,21 @@
         private set
     var heardAtMillis = Long.MIN_VALUE
         private set
+    /** Cost units beyond its part that the VM was granted for requests that wait there, and has not used yet. */
+    var promisedCost = 0.0
+        private set
+    private var promisedAtMillis = 0L
     private var lastNumber = 0L
 
+    fun promise(cost: Double, nowMillis: Long) {
+        promisedCost = cost
+        promisedAtMillis = nowMillis
+    }
+
+    fun dropOldPromise(nowMillis: Long) {
+        if (nowMillis - promisedAtMillis > PROMISE_LIFE_MILLIS) promisedCost = 0.0
+    }
+
     /** Takes in [report] and returns what was used since the one before; one that comes late changes nothing. */
     fun advanceTo(report: AllotmentReport, nowMillis: Long): Double {
         heardAtMillis = nowMillis
--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -0,0 +1,395 @@
+package org.banyanturn.core.placement
+
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.HeldModel
+
+/**
+ * Times by which an engine's copies are managed.
+ *
+ * @property adapterLoadMillis how long an adapter takes to load.
+ * @property modelIdleMillis how long a model must be unused before it may make room for another.
+ * @property adapterIdleMillis the same for an adapter.
+ * @property conflictMillis wait before an order is sent again that met another one.
+ * @property repeatMillis wait before an order is sent again that got no answer.
+ * @property reportLagMillis how old an engine's report may be.
+ * @property wishLifeMillis how long a wish stands that nobody repeats.
+ */
+public data class CopyStewardSettings(
+    val adapterLoadMillis: Long = 12,
+    val modelIdleMillis: Long = 3_000,
+    val adapterIdleMillis: Long = 600,
+    val conflictMillis: Long = 8,
+    val repeatMillis: Long = 150,
+    val reportLagMillis: Long = 2_500,
+    val wishLifeMillis: Long = 8_000,
+)
+
+/** What an order is to do with a copy. */
+public enum class CopyOrderKind {
+    /** Load it. */
+    LOAD,
+
+    /** Drop it once its runs have finished. */
+    UNLOAD,
+}
+
+/**
+ * An order to the engine; [expectedOrders] makes a copy of it that is carried out late harmless.
+ */
+public data class CopyOrder(val kind: CopyOrderKind, val copy: CopyName, val expectedOrders: Long)
+
+/** How an order went. */
+public enum class CopyOrderResult {
+    /** The engine carries it out. */
+    ACCEPTED,
+
+    /** What it asks for held already. */
+    HELD_ALREADY,
+
+    /** Another order is in progress, or the engine counts its orders otherwise. */
+    CONFLICT,
+
+    /** The engine refuses it for good. */
+    REJECTED,
+
+    /** No answer came; it may be carried out later. */
+    UNKNOWN,
+}
+
+/** What a wish for a copy can expect. */
+public sealed interface CopyPromise {
+    /** The engine holds it. */
+    public data object Ready : CopyPromise
+
+    /** It is expected in [inMillis]. */
+    public data class Coming(val inMillis: Long) : CopyPromise
+
+    /** It won't be loaded here now, for [reason]. */
+    public data class Declined(val reason: CopyDeclineReason) : CopyPromise
+}
+
+/** Why a copy won't be loaded at an engine. */
+public enum class CopyDeclineReason {
+    /** The engine does not have the adapter's model. */
+    NO_MODEL,
+
+    /** The engine is busy with an order that takes long. */
+    BUSY,
+
+    /** Everything that it holds is in use. */
+    NO_ROOM,
+
+    /** The model is unknown or larger than the engine. */
+    IMPOSSIBLE,
+}
+
+/** What the engine's owner knows of one copy there. */
+internal class StewardedCopy(var phase: CopyPhase, var usedAtMillis: Long) {
+    var readyAtMillis = 0L
+}
+
+/** When a copy was wished for, and what may be dropped for it. */
+internal class CopyWish(val atMillis: Long, val victims: List<CopyName>)
+
+/** Where a copy stands; every phase takes room. */
+internal enum class CopyPhase { HELD, LOADING, UNLOADING, UNCERTAIN }
+
+/**
+ * The copies of one engine, as the VM that owns the engine manages them; not safe for use by several threads.
+ *
+ * Load patterns: rare models are asked for at once, demand moves to other models, and the adapters of a busy model
+ * exceed the engine's places. One order is under way at a time; room is made by dropping what was used least recently,
+ * never what is in use. Whatever may be on the engine takes room: copies of which a load order was sent and not
+ * answered count as loaded until the engine itself says otherwise.
+ */
+public class CopySteward(private val spec: EngineSpec, private val settings: CopyStewardSettings = CopyStewardSettings()) {
+    private val copies = LinkedHashMap<CopyName, StewardedCopy>()
+    private val wishes = LinkedHashMap<CopyName, CopyWish>()
+    private var lifeEpochMillis: Long? = null
+    private var expectedOrders = 0L
+    private var isKnown = false
+    private var outstanding: CopyOrder? = null
+    private var isSending = false
+    private var conflicts = 0
+    private var nextSendMillis = Long.MIN_VALUE
+    private var isUncertain = false
+    private var orderedAtMillis = Long.MIN_VALUE / 2
+
+    /** Whether the engine's own report is needed to go on. */
+    public val needsReport: Boolean
+        get() = !isSending && (!isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || hasModelLoading)
+
+    private val hasModelLoading: Boolean
+        get() = copies.any { (name, copy) -> !name.isAdapter && copy.phase == CopyPhase.LOADING }
+
+    /**
+     * Takes in the engine's report.
+     *
+     * A new owner, or the owner of an engine that started again, waits until no order is in progress: a load that another
+     * owner ordered takes room that no list shows yet.
+     *
+     * @param bornEpochMillis when this life of the engine began, or `null` if it does not say.
+     * @param ordersAccepted how many orders it has accepted in this life.
+     */
+    public fun onReport(
+        bornEpochMillis: Long?,
+        ordersAccepted: Long,
+        isCarryingOutOrder: Boolean,
+        heldModels: Map<ModelId, HeldModel>,
+        nowMillis: Long,
+    ) {
+        if (!isKnown || isOtherLife(bornEpochMillis)) {
+            if (isCarryingOutOrder) return forgetLife()
+            return startLife(bornEpochMillis, ordersAccepted, heldModels, nowMillis)
+        }
+        if (ordersAccepted < expectedOrders || isSending) return
+        val held = namesOf(heldModels)
+        if (ordersAccepted > expectedOrders) adoptCount(ordersAccepted)
+        if (isCarryingOutOrder) return
+        if (outstanding == null) copies.entries.removeIf { (name, copy) -> copy.phase == CopyPhase.UNCERTAIN && name !in held }
+        adoptHeld(held, nowMillis)
+        copies.entries.removeIf { (name, copy) -> name !in held && copy.phase == CopyPhase.LOADING && hasOutlastedReports(nowMillis) }
+    }
+
+    /** Takes in the copies that the engine's entry lists; it may be older than the latest orders and counts none. */
+    public fun onEntry(bornEpochMillis: Long?, heldModels: Map<ModelId, HeldModel>, nowMillis: Long) {
+        if (isKnown && isOtherLife(bornEpochMillis)) return forgetLife()
+        if (isKnown && outstanding == null && hasOutlastedReports(nowMillis)) adoptHeld(namesOf(heldModels), nowMillis)
+    }
+
+    private fun isOtherLife(bornEpochMillis: Long?): Boolean =
+        bornEpochMillis != null && lifeEpochMillis != null && bornEpochMillis != lifeEpochMillis
+
+    /** Whether the latest order is so long ago that what the engine says tells of its outcome. */
+    private fun hasOutlastedReports(nowMillis: Long): Boolean = nowMillis - orderedAtMillis > settings.reportLagMillis
+
+    private fun adoptHeld(held: Set<CopyName>, nowMillis: Long) {
+        held.forEach { name ->
+            val copy = copies.getOrPut(name) { StewardedCopy(CopyPhase.HELD, nowMillis - settings.modelIdleMillis) }
+            if (copy.phase == CopyPhase.LOADING || copy.phase == CopyPhase.UNCERTAIN) copy.phase = CopyPhase.HELD
+        }
+        copies.entries.removeIf { (name, copy) ->
+            name !in held && (copy.phase == CopyPhase.HELD || copy.phase == CopyPhase.UNLOADING) && hasOutlastedReports(nowMillis)
+        }
+    }
+
+    /** The engine has started again and holds nothing of before; its report tells with what it begins. */
+    private fun forgetLife() {
+        isKnown = false
+        outstanding = null
+        isUncertain = false
+        conflicts = 0
+        copies.clear()
+    }
+
+    private fun startLife(born: Long?, ordersAccepted: Long, heldModels: Map<ModelId, HeldModel>, nowMillis: Long) {
+        forgetLife()
+        isKnown = true
+        lifeEpochMillis = born
+        expectedOrders = ordersAccepted
+        namesOf(heldModels).forEach { copies[it] = StewardedCopy(CopyPhase.HELD, nowMillis - settings.modelIdleMillis) }
+    }
+
+    /** The engine has accepted more orders than were answered: the one without an answer was carried out. */
+    private fun adoptCount(ordersAccepted: Long) {
+        expectedOrders = ordersAccepted
+        outstanding = null
+        isUncertain = false
+        conflicts = 0
+    }
+
+    private fun namesOf(heldModels: Map<ModelId, HeldModel>): Set<CopyName> =
+        heldModels.values.flatMapTo(LinkedHashSet()) { held ->
+            listOf(CopyName(held.modelId)) + held.adapters.map { CopyName(held.modelId, it) }
+        }
+
+    /** Notes that a VM uses [copy], and with it the copy's model. */
+    public fun noteUse(copy: CopyName, nowMillis: Long) {
+        copies[copy]?.usedAtMillis = nowMillis
+        copies[copy.model]?.usedAtMillis = nowMillis
+    }
+
+    /**
+     * Returns what a wish for [copy] can expect; it stands until it is met or nobody repeats it.
+     *
+     * @param victims the models that may be dropped for it, though they are in use.
+     */
+    public fun want(copy: CopyName, nowMillis: Long, victims: List<ModelId> = emptyList()): CopyPromise {
+        val known = copies[copy]
+        if (known?.phase == CopyPhase.HELD) return CopyPromise.Ready
+        if (known?.phase == CopyPhase.LOADING) return CopyPromise.Coming((known.readyAtMillis - nowMillis).coerceAtLeast(1))
+        val wish = CopyWish(nowMillis, victims.map { CopyName(it) })
+        val declined = declineOrNull(copy, wish, nowMillis)
+        if (declined != null) {
+            wishes -= copy
+            return CopyPromise.Declined(declined)
+        }
+        wishes[copy] = wish
+        return CopyPromise.Coming(expectedMillis(copy))
+    }
+
+    private fun declineOrNull(copy: CopyName, wish: CopyWish, nowMillis: Long): CopyDeclineReason? {
+        val model = spec.models[copy.modelId] ?: return CopyDeclineReason.IMPOSSIBLE
+        if (!isKnown) return CopyDeclineReason.BUSY
+        if (model.weightsMegabytes > spec.weightsMegabytes) return CopyDeclineReason.IMPOSSIBLE
+        if (hasModelLoading) return CopyDeclineReason.BUSY
+        val isModelWished = wishes.keys.any { !it.isAdapter && it != copy }
+        if (isModelWished) return CopyDeclineReason.BUSY
+        if (copy.isAdapter && copies[copy.model]?.phase != CopyPhase.HELD) return CopyDeclineReason.NO_MODEL
+        return CopyDeclineReason.NO_ROOM.takeUnless { hasRoom(copy) || victimsFor(copy, wish, nowMillis) != null }
+    }
+
+    private fun expectedMillis(copy: CopyName): Long =
+        if (copy.isAdapter) settings.adapterLoadMillis * 2 else spec.models.getValue(copy.modelId).loadMillis
+
+    /** Returns the order to send now, or `null`; its answer must be told by [onOrderAnswered]. */
+    public fun nextOrderOrNull(nowMillis: Long): CopyOrder? {
+        if (!isKnown || isSending || nowMillis < nextSendMillis) return null
+        finishAdapters(nowMillis)
+        wishes.entries.removeIf { (copy, wish) -> isMet(copy) || nowMillis - wish.atMillis > settings.wishLifeMillis }
+        val order = outstanding ?: dueOrderOrNull(nowMillis) ?: return null
+        outstanding = order
+        orderedAtMillis = nowMillis
+        isSending = true
+        if (order.kind == CopyOrderKind.LOAD) {
+            copies.getOrPut(order.copy) { StewardedCopy(CopyPhase.UNCERTAIN, nowMillis) }
+        } else {
+            copies[order.copy]?.phase = CopyPhase.UNLOADING
+        }
+        return order
+    }
+
+    private fun isMet(copy: CopyName): Boolean =
+        copies[copy]?.phase.let { it == CopyPhase.HELD || it == CopyPhase.LOADING }
+
+    /** Adapters load so fast that their end is known by time rather than by a report. */
+    private fun finishAdapters(nowMillis: Long) {
+        copies.forEach { (name, copy) ->
+            if (name.isAdapter && copy.phase == CopyPhase.LOADING && nowMillis >= copy.readyAtMillis) copy.phase = CopyPhase.HELD
+        }
+    }
+
+    private fun dueOrderOrNull(nowMillis: Long): CopyOrder? =
+        wishes.entries.firstNotNullOfOrNull { (copy, wish) -> orderFor(copy, wish, nowMillis) }
+
+    private fun orderFor(copy: CopyName, wish: CopyWish, nowMillis: Long): CopyOrder? {
+        if (hasRoom(copy)) return CopyOrder(CopyOrderKind.LOAD, copy, expectedOrders)
+        val victim = victimsFor(copy, wish, nowMillis)?.firstOrNull() ?: return null
+        return CopyOrder(CopyOrderKind.UNLOAD, victim, expectedOrders)
+    }
+
+    private fun hasRoom(copy: CopyName): Boolean {
+        val hasPlace = !copy.isAdapter || copies.keys.count { it.isAdapter } < spec.adapterSlots
+        return hasPlace && usedMegabytes() + sizeOf(copy) <= spec.weightsMegabytes
+    }
+
+    private fun usedMegabytes(): Double = copies.keys.sumOf(::sizeOf)
+
+    private fun sizeOf(copy: CopyName): Double {
+        val model = spec.models[copy.modelId] ?: return spec.weightsMegabytes
+        return if (copy.isAdapter) model.adapterMegabytes else model.weightsMegabytes
+    }
+
+    /** Returns what has to be dropped for [copy], least recently used first, or `null` if too much is in use. */
+    private fun victimsFor(copy: CopyName, wish: CopyWish, nowMillis: Long): List<CopyName>? {
+        val victims = ArrayList<CopyName>()
+        var missing = usedMegabytes() + sizeOf(copy) - spec.weightsMegabytes
+        var missingPlaces = if (copy.isAdapter) copies.keys.count { it.isAdapter } + 1 - spec.adapterSlots else 0
+        for (name in candidatesFor(copy, wish, nowMillis)) {
+            if (missing <= 0 && missingPlaces <= 0) break
+            victims += name
+            missing -= sizeOf(name)
+            if (name.isAdapter) missingPlaces-- else missing -= adapterMegabytesOf(name)
+        }
+        return victims.takeIf { missing <= 0 && missingPlaces <= 0 }
+    }
+
+    private fun adapterMegabytesOf(model: CopyName): Double =
+        copies.keys.filter { it.isAdapter && it.modelId == model.modelId }.sumOf(::sizeOf)
+
+    private fun candidatesFor(copy: CopyName, wish: CopyWish, nowMillis: Long): List<CopyName> {
+        val named = wish.victims.filter { copies[it]?.phase in DROPPABLE && it != copy.model }
+        val idle = copies.entries
+            .filter { (name, held) -> name.isAdapter == copy.isAdapter && name !in named && mayDrop(name, held, copy, nowMillis) }
+            .sortedBy { (_, held) -> held.usedAtMillis }
+            .map { it.key }
+        return named + idle
+    }
+
+    private fun mayDrop(name: CopyName, held: StewardedCopy, copy: CopyName, nowMillis: Long): Boolean {
+        val neededMillis = if (name.isAdapter) settings.adapterIdleMillis else settings.modelIdleMillis
+        val isIdle = nowMillis - held.usedAtMillis >= neededMillis
+        return name != copy.model && held.phase in DROPPABLE && (isIdle || held.phase == CopyPhase.UNLOADING)
+    }
+
+    /** Takes in how [order] went. */
+    public fun onOrderAnswered(order: CopyOrder, result: CopyOrderResult, nowMillis: Long) {
+        isSending = false
+        if (order != outstanding) return
+        when (result) {
+            CopyOrderResult.ACCEPTED -> {
+                expectedOrders = order.expectedOrders + 1
+                settle(order, isLoadInProgress = true, nowMillis)
+            }
+
+            CopyOrderResult.HELD_ALREADY -> settle(order, isLoadInProgress = false, nowMillis)
+
+            CopyOrderResult.CONFLICT -> {
+                conflicts++
+                val isLong = conflicts >= CONFLICTS_TO_REPORT
+                nextSendMillis = nowMillis + if (isLong) settings.repeatMillis else settings.conflictMillis
+            }
+
+            CopyOrderResult.REJECTED -> {
+                outstanding = null
+                wishes -= order.copy
+                if (order.kind == CopyOrderKind.UNLOAD) copies[order.copy]?.phase = CopyPhase.HELD
+                nextSendMillis = nowMillis + settings.repeatMillis
+            }
+
+            CopyOrderResult.UNKNOWN -> {
+                isUncertain = true
+                nextSendMillis = nowMillis + settings.repeatMillis
+            }
+        }
+    }
+
+    private fun settle(order: CopyOrder, isLoadInProgress: Boolean, nowMillis: Long) {
+        outstanding = null
+        isUncertain = false
+        conflicts = 0
+        if (order.kind == CopyOrderKind.UNLOAD) {
+            drop(order.copy)
+            nextSendMillis = nowMillis + 1
+            return
+        }
+        val copy = copies.getOrPut(order.copy) { StewardedCopy(CopyPhase.LOADING, nowMillis) }
+        copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
+        copy.usedAtMillis = nowMillis
+        val loadMillis = if (order.copy.isAdapter) settings.adapterLoadMillis else spec.models.getValue(order.copy.modelId).loadMillis
+        copy.readyAtMillis = nowMillis + loadMillis
+        nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.conflictMillis else 0
+    }
+
+    /**
+     * Forgets a copy whose unload the engine has accepted: it takes up the next order only once the unload is done, so
+     * the room is free by the time a load is accepted.
+     */
+    private fun drop(copy: CopyName) {
+        copies -= copy
+        if (!copy.isAdapter) copies.keys.removeIf { it.modelId == copy.modelId }
+    }
+
+    /** Returns whether the engine is known to hold [copy] now. */
+    public fun holds(copy: CopyName, nowMillis: Long): Boolean {
+        finishAdapters(nowMillis)
+        return copies[copy]?.phase == CopyPhase.HELD
+    }
+
+    private companion object {
+        /** Conflicts in a row after which the engine's own word is asked for. */
+        const val CONFLICTS_TO_REPORT = 4
+        val DROPPABLE = setOf(CopyPhase.HELD, CopyPhase.UNLOADING)
+    }
+}
--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -34,6 +34,7 @@
  * @property maxAttempts the most targets to which one request may be sent.
  * @property isPublic whether requests need no key.
  * @property isResumable whether a stream may be continued at another target after its last event.
+ * @property gapMillis the longest pause between events that callers still take for on time, or `null`.
  */
 public data class Route(
     val name: String,
@@ -47,10 +48,26 @@
     val maxAttempts: Int,
     val isPublic: Boolean,
     val isResumable: Boolean,
+    val gapMillis: Long?,
 ) {
+    /** How long a caller waits for the first event of a stream before it gives up, or `null` if this is no stream. */
+    val firstEventPatienceMillis: Long?
+        get() = if (kind != RouteKind.STREAM) {
+            null
+        } else {
+            maxOf(LEAST_PATIENCE_MILLIS, LATENCIES_OF_PATIENCE * targetLatencyMillis, GAPS_OF_PATIENCE * (gapMillis ?: 0))
+        }
+
     /** Whether a request may run again after an attempt whose outcome is unknown. */
     val mayRepeat: Boolean
         get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && isResumable)
+
+    private companion object {
+        /** Callers give a stream up after a gap of two seconds, four target latencies or eight allowed gaps. */
+        const val LEAST_PATIENCE_MILLIS = 2_000L
+        const val LATENCIES_OF_PATIENCE = 4
+        const val GAPS_OF_PATIENCE = 8
+    }
 }
 
 /**
--- a/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
@@ -14,7 +14,6 @@
  * @property bornEpochMillis when this life of the target began, or `null` if it does not say.
  * @property isDraining whether it takes no new work soon.
  * @property remainingMillis how long a target that is taken away still runs, or `null`.
- * @property ordersAccepted how many orders it has accepted in this life.
  */
 public data class TargetEntry(
     val targetId: TargetId,
@@ -25,7 +24,6 @@
     val isDraining: Boolean,
     val bornEpochMillis: Long?,
     val remainingMillis: Long?,
-    val ordersAccepted: Long,
     val heldModels: Map<ModelId, HeldModel>,
 )
 
@@ -89,7 +87,9 @@
 
     /** Returns the directory without the targets whose entries have not come back in time. */
     public fun expire(nowMillis: Long): EngineDirectory {
-        val kept = targets.filterValues { it.missingSinceMillis == null || nowMillis - it.missingSinceMillis < lapsedGraceMillis }
+        val kept = targets.filterValues { target ->
+            target.missingSinceMillis == null || nowMillis - target.missingSinceMillis < lapsedGraceMillis
+        }
         return if (kept.size == targets.size) this else EngineDirectory(kept, lapsedGraceMillis)
     }
 
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -115,6 +115,18 @@
     /** A copy was unloaded. */
     UNLOAD_FINISHED(3006, Level.INFO, "a copy was unloaded"),
 
+    /** A copy was asked for at its engine's owner. */
+    COPY_WANTED(3008, Level.INFO, "a copy was asked for"),
+
+    /** An engine's owner declined to load a copy. */
+    COPY_DECLINED(3009, Level.INFO, "a copy won't be loaded there now"),
+
+    /** An engine was chosen for a model that is asked for. */
+    LOAD_PLANNED(3011, Level.INFO, "an engine was chosen for a model"),
+
+    /** An order to an engine was answered, or got no answer. */
+    ORDER_ANSWERED(3010, Level.INFO, "an order to an engine has ended"),
+
     /** A report of an engine could not be read. */
     REPORT_FAILED(3007, Level.WARN, "an engine's report can't be read"),
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -12,11 +12,18 @@
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.admission.FleetRetryLimit
 import org.banyanturn.core.delivery.DrainSettings
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.CallerLimits
+import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.daemon.metrics.metricsText
 import org.banyanturn.daemon.processClock
+import org.banyanturn.entry.copies.CopyRequests
+import org.banyanturn.entry.copies.EngineOwnerDesk
+import org.banyanturn.entry.copies.OwnerSettings
+import org.banyanturn.entry.copies.PlannerDesk
+import org.banyanturn.entry.copies.WaitingNeeds
 import org.banyanturn.entry.follow.CatalogFollower
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.OwnershipSettings
@@ -34,8 +41,8 @@
 import org.banyanturn.entry.observe.EntryMetrics
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerDesk
-import org.banyanturn.entry.requests.CopyDesk
-import org.banyanturn.entry.requests.CopyOutlook
+import org.banyanturn.entry.peers.PeerSocket
+import org.banyanturn.entry.requests.TargetNeed
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
 import org.banyanturn.entry.requests.RequestEnvironment
@@ -43,6 +50,7 @@
 import org.banyanturn.entry.requests.ServiceRetries
 import org.banyanturn.entry.requests.TargetPlacement
 import org.banyanturn.entry.requests.WaitingRoom
+import org.banyanturn.platform.hosted.EngineOrders
 import org.banyanturn.platform.hosted.HostedStore
 import org.banyanturn.platform.hosted.SocketAddressText
 import org.banyanturn.platform.hosted.VmBoot
@@ -57,6 +65,18 @@
 private const val TICK_MILLIS = 20L
 private const val SECOND_MILLIS = 1_000L
 
+/** Time between two words to the engines' owners on which copies are in use. */
+private const val USES_MILLIS = 250L
+
+/** Part of each member's burst that a VM that starts again takes to be unused. */
+private const val RESTART_ALLOTMENT_FRACTION = 0.5
+
+/** How long an order to an engine may take; the answer comes at once, from a zone some milliseconds away. */
+private const val ORDER_TIMEOUT_MILLIS = 300L
+
+/** Time beyond the lease that a new owner waits, for clocks that run at different speeds. */
+private const val TAKEOVER_MARGIN_MILLIS = 300L
+
 /** How long the balancer takes to notice that a VM is not ready: two questions, one a second, and some delay. */
 private const val READINESS_LAG_MILLIS = 2_500L
 
@@ -100,7 +120,7 @@
     )
     private val catalogFollower = CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log)
     private val targetFollower = TargetFollower(store.targets, view, StoreWatch("targets", clock, log), clock, log)
-    private val limits = MemberLimits(ownership::vmCount)
+    private val limits = MemberLimits(ownership::vmCount, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock)
     private val placement = TargetPlacement(view, clock, random)
     private val waitingRoom = WaitingRoom(placement, clock)
@@ -108,14 +128,34 @@
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
         ownership::vmCount,
     )
-    private val copyDesk = CopyDesk { _, _ -> CopyOutlook.Unavailable(SECOND_MILLIS) }
+    private val numbers = generateSequence(1L) { it + 1 }.iterator()
+    private val copyRequests = CopyRequests(view, clock, log, numbers)
+    private val planner = PlannerDesk(view, clock, log, numbers)
+    private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
+    private val engines = EngineOwnerDesk(
+        vmName = boot.vmId.value,
+        settings = OwnerSettings(takeoverMillis = boot.bounds.orderLeaseMillis + TAKEOVER_MARGIN_MILLIS),
+        ownership = ownership,
+        view = view,
+        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS),
+        scope = scope,
+        clock = clock,
+        log = log,
+        checkSuspension = ::checkSuspension,
+    )
     private val handler = RequestHandler(
         RequestEnvironment(
-            clock, loop, view, channels, placement, waitingRoom, copyDesk, limits, retries, log, metrics, random,
+            clock, loop, view, channels, placement, waitingRoom, copyRequests, limits, retries, log, metrics, random,
         ),
     )
-    private val peers = PeerDesk(group, boot, self, ownership, allotments, view)
-    private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
+    private val peers = PeerDesk(self, ownership, allotments, copyRequests, planner, engines, view)
+    private val waitingNeeds = object : WaitingNeeds {
+        override fun needOrNull(copy: CopyName): TargetNeed? = waitingRoom.needOrNull(copy)
+
+        override fun modelHolders(need: TargetNeed): List<KnownTarget> = placement.modelHolders(need)
+
+        override fun giveUp(need: TargetNeed): Unit = waitingRoom.giveUp(need)
+    }
     private val shutdown = Shutdown(
         DrainSettings(READINESS_LAG_MILLIS, boot.bounds.graceMillis - EXIT_MARGIN_MILLIS, handOverMillis = 0),
         clock,
@@ -146,6 +186,7 @@
             },
             connections = connections,
         )
+        peers.socket = PeerSocket(group, boot.address, boot.peerPort, peers::onDatagram)
         listenForQuestions(group, boot.readinessAddress) { answerReadiness() }
         listenForQuestions(group, SocketAddressText(boot.address, boot.metricsPort)) {
             SmallAnswer(HttpResponseStatus.OK, metricsText(metrics.registry).encodeToByteArray())
@@ -159,25 +200,44 @@
     }
 
     private fun startWork() {
-        view.watch(waitingRoom::serve)
+        connectParts()
         scope.launch { catalogFollower.run() }
         scope.launch { targetFollower.run() }
         scope.launch { ownership.run() }
         loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate(peers::sendUses, USES_MILLIS, USES_MILLIS, TimeUnit.MILLISECONDS)
         loop.scheduleAtFixedRate(::tickSecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    private fun connectParts() {
+        copyRequests.questions = peers
+        copyRequests.waiting = waitingNeeds
+        waitingRoom.onCopyMissing = copyRequests::onModelReady
+        planner.lines = peers
+        engines.onCopyReady = peers::announceReady
+        engines.onCopyLeaving = peers::announceLeaving
+        view.watch(engines::onDirectory)
+        view.watch(waitingRoom::serve)
+    }
+
     private fun tick() {
-        val gapMillis = suspension.takeGapMillis()
-        if (gapMillis != 0L) {
-            ownership.dropLease()
-            log.write(Event.PROCESS_SUSPENDED, field("gapMillis", gapMillis))
-        }
+        checkSuspension()
+        engines.tick()
+        planner.tick()
+        copyRequests.tick()
+        limits.tick(clock.nowMillis())
         waitingRoom.serve()
-        peers.sendDue()
+        peers.sendReports()
         shutdown.tick()
     }
 
+    private fun checkSuspension() {
+        val gapMillis = suspension.takeGapMillis()
+        if (gapMillis == 0L) return
+        ownership.dropLease()
+        log.write(Event.PROCESS_SUSPENDED, field("gapMillis", gapMillis))
+    }
+
     private fun tickSecond() {
         val nowMillis = clock.nowMillis()
         connections.toList().forEach { it.closeIfOverdue(nowMillis) }
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -0,0 +1,209 @@
+package org.banyanturn.entry.copies
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.core.stableHash
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.requests.CopyDesk
+import org.banyanturn.entry.requests.CopyOutlook
+import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.requests.TargetNeed
+
+/**
+ * Times of asking for copies.
+ *
+ * @property repeatMillis after what time an unanswered question is sent again.
+ * @property giveUpMillis after what time a VM that does not answer is passed over.
+ * @property marginMillis how long after the promised time a copy may still come.
+ * @property declinedMillis how long a question that was declined is not asked again.
+ */
+internal data class CopyRequestSettings(
+    val repeatMillis: Long = 40,
+    val giveUpMillis: Long = 250,
+    val marginMillis: Long = 1_500,
+    val declinedMillis: Long = 300,
+)
+
+/** Load of a missing adapter as it is foreseen: two hops to the owner and back, an unload and a load. */
+private const val ADAPTER_OUTLOOK_MILLIS = 40L
+
+/** When to ask again for a copy for which there is no room now. */
+private const val NO_ROOM_RETRY_MILLIS = 1_000L
+
+/** What requests wait for. */
+internal interface WaitingNeeds {
+    /** Returns the need of a request that waits for [copy], or `null` if none does. */
+    fun needOrNull(copy: CopyName): TargetNeed?
+
+    /** Returns the targets that hold the model that [need] asks for. */
+    fun modelHolders(need: TargetNeed): List<KnownTarget>
+
+    /** Refuses the requests that wait for what [need] asks for. */
+    fun giveUp(need: TargetNeed)
+}
+
+/** Carries questions for copies to other VMs; answers come by [CopyRequests.onAnswer]. */
+internal interface CopyQuestions {
+    /** Asks the owner of the engine [targetId] for [copy]; returns whether an owner is known. */
+    fun askOwner(number: Long, targetId: TargetId, copy: CopyName): Boolean
+
+    /** Asks the planner of [service] for the model [copy]; returns whether a planner is known. */
+    fun askPlanner(number: Long, service: ServiceName, copy: CopyName): Boolean
+}
+
+/** An answer to a question for a copy; [readyInMillis] is `null` if the copy won't be loaded. */
+internal class CopyAnswer(val number: Long, val readyInMillis: Long?, val targetId: TargetId?, val reason: String)
+
+/**
+ * Asks for the copies that this VM's requests wait for; used on the event loop only.
+ *
+ * Models are asked for at their service's planner, which chooses the engine; adapters at the owner of an engine that
+ * holds their model, each adapter first at the same engine from everywhere.
+ */
+internal class CopyRequests(
+    private val view: FleetView,
+    private val clock: ProcessClock,
+    private val log: DecisionLog,
+    private val numbers: Iterator<Long>,
+    private val settings: CopyRequestSettings = CopyRequestSettings(),
+) : CopyDesk {
+    private val pending = LinkedHashMap<CopyName, PendingCopy>()
+    private val declined = HashMap<Pair<CopyName, TargetId?>, Long>()
+
+    /** Where questions go. */
+    lateinit var questions: CopyQuestions
+
+    /** What requests wait for. */
+    lateinit var waiting: WaitingNeeds
+
+    override fun want(need: TargetNeed, modelHolders: List<KnownTarget>): CopyOutlook {
+        val copy = need.copy ?: return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
+        val known = pending[copy]
+        if (known != null) return known.outlook(clock.nowMillis())
+        return when {
+            !copy.isAdapter -> askPlanner(need, copy)
+            modelHolders.isEmpty() -> wantModelFirst(need, copy)
+            else -> askOwner(need, copy, modelHolders)
+        }
+    }
+
+    private fun askPlanner(need: TargetNeed, copy: CopyName): CopyOutlook {
+        if (isDeclined(copy, null)) return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
+        val loadMillis = specOf(need.service)?.models?.get(copy.modelId)?.loadMillis
+            ?: return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
+        return ask(copy, PendingCopy(numbers.next(), need, targetId = null, clock.nowMillis(), loadMillis))
+    }
+
+    private fun askOwner(need: TargetNeed, copy: CopyName, modelHolders: List<KnownTarget>): CopyOutlook {
+        val target = modelHolders
+            .filterNot { view.holds(it, copy) || isDeclined(copy, it.entry.targetId) }
+            .maxByOrNull { stableHash("$copy/${it.entry.targetId}") }
+            ?: return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
+        val asked = PendingCopy(numbers.next(), need, target.entry.targetId, clock.nowMillis(), ADAPTER_OUTLOOK_MILLIS)
+        return ask(copy, asked)
+    }
+
+    /** An adapter whose model no engine holds waits for the model. */
+    private fun wantModelFirst(need: TargetNeed, copy: CopyName): CopyOutlook {
+        val modelNeed = TargetNeed(need.service, copy.model, need.affinityKey, need.avoided)
+        val outlook = want(modelNeed, emptyList())
+        if (outlook !is CopyOutlook.Coming) return outlook
+        return CopyOutlook.Coming(outlook.readyInMillis + ADAPTER_OUTLOOK_MILLIS)
+    }
+
+    private fun ask(copy: CopyName, asked: PendingCopy): CopyOutlook {
+        pending[copy] = asked
+        log.write(Event.COPY_WANTED, field("copy", copy), field("target", asked.targetId), field("number", asked.number))
+        sendQuestion(copy, asked)
+        return pending[copy]?.outlook(clock.nowMillis()) ?: outlookAfterAnswer(asked.need, copy)
+    }
+
+    private fun outlookAfterAnswer(need: TargetNeed, copy: CopyName): CopyOutlook {
+        val isThere = view.directory.byService[need.service].orEmpty().any { view.holds(it, copy) }
+        return if (isThere) CopyOutlook.Coming(readyInMillis = 1) else CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
+    }
+
+    private fun sendQuestion(copy: CopyName, asked: PendingCopy) {
+        asked.sentAtMillis = clock.nowMillis()
+        val targetId = asked.targetId
+        val isSent = if (targetId == null) {
+            questions.askPlanner(asked.number, asked.need.service, copy)
+        } else {
+            questions.askOwner(asked.number, targetId, copy)
+        }
+        if (!isSent) decline(copy, asked, "no_owner")
+    }
+
+    /** Takes in an answer to a question of this VM. */
+    fun onAnswer(answer: CopyAnswer) {
+        val (copy, asked) = pending.entries.firstOrNull { it.value.number == answer.number } ?: return
+        val readyInMillis = answer.readyInMillis
+        asked.isAnswered = true
+        when {
+            readyInMillis == null -> decline(copy, asked, answer.reason)
+            readyInMillis > 0 -> asked.expectedMillis = clock.nowMillis() + readyInMillis
+            else -> (answer.targetId ?: asked.targetId)?.let { onReady(it, copy) }
+        }
+    }
+
+    /** Notes that the engine [targetId] holds [copy]; requests that wait for it go on. */
+    fun onReady(targetId: TargetId, copy: CopyName) {
+        pending -= copy
+        view.directory.targets[targetId]?.let { view.noteCopy(it, copy, isPresent = true) }
+    }
+
+    private fun isDeclined(copy: CopyName, targetId: TargetId?): Boolean =
+        clock.nowMillis() < (declined[copy to targetId] ?: Long.MIN_VALUE)
+
+    /** The copy won't come from where it was asked for: another engine is asked, or the requests are refused. */
+    private fun decline(copy: CopyName, asked: PendingCopy, reason: String) {
+        log.write(Event.COPY_DECLINED, field("copy", copy), field("target", asked.targetId), field("reason", reason))
+        declined[copy to asked.targetId] = clock.nowMillis() + settings.declinedMillis
+        pending -= copy
+        val need = waiting.needOrNull(copy) ?: return
+        if (want(need, waiting.modelHolders(need)) is CopyOutlook.Unavailable) waiting.giveUp(need)
+    }
+
+    /** Repeats questions that got no answer, and asks for what came too late; called every few milliseconds. */
+    fun tick() {
+        val nowMillis = clock.nowMillis()
+        declined.values.removeIf { it <= nowMillis }
+        pending.entries.toList().forEach { (copy, asked) ->
+            when {
+                nowMillis > asked.expectedMillis + settings.marginMillis -> decline(copy, asked, "overdue")
+                asked.isAnswered -> Unit
+                nowMillis - asked.askedAtMillis > settings.giveUpMillis -> decline(copy, asked, "no_answer")
+                nowMillis - asked.sentAtMillis > settings.repeatMillis -> sendQuestion(copy, asked)
+            }
+        }
+    }
+
+    /** Asks for the adapters that wait for a model which has come. */
+    fun onModelReady(need: TargetNeed) {
+        val holders = waiting.modelHolders(need)
+        if (holders.isNotEmpty() && need.copy !in pending && want(need, holders) is CopyOutlook.Unavailable) waiting.giveUp(need)
+    }
+
+    private fun specOf(service: ServiceName): EngineSpec? = view.catalog?.services?.get(service)?.engine
+}
+
+/** A copy that was asked for, at the owner of [targetId] or, where that is `null`, at the planner. */
+private class PendingCopy(
+    val number: Long,
+    val need: TargetNeed,
+    val targetId: TargetId?,
+    val askedAtMillis: Long,
+    expectedInMillis: Long,
+) {
+    var sentAtMillis = askedAtMillis
+    var expectedMillis = askedAtMillis + expectedInMillis
+    var isAnswered = false
+
+    fun outlook(nowMillis: Long): CopyOutlook = CopyOutlook.Coming((expectedMillis - nowMillis).coerceAtLeast(1))
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -0,0 +1,209 @@
+package org.banyanturn.entry.copies
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.placement.CopyOrder
+import org.banyanturn.core.placement.CopyOrderKind
+import org.banyanturn.core.placement.CopyOrderResult
+import org.banyanturn.core.placement.CopyPromise
+import org.banyanturn.core.placement.CopySteward
+import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.follow.Ownership
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.requests.socketAddress
+import org.banyanturn.platform.hosted.EngineOrder
+import org.banyanturn.platform.hosted.EngineOrders
+import org.banyanturn.platform.hosted.OrderKind
+import org.banyanturn.platform.hosted.OrderReply
+
+/**
+ * Times of the orders to engines.
+ *
+ * @property takeoverMillis how long a new owner waits before its first order, so that the owner before has stopped.
+ * @property reportIntervalMillis time between reports of an engine while one is needed.
+ * @property noticeMillis time between the word that a model is dropped and the order, for requests under way.
+ */
+internal data class OwnerSettings(
+    val takeoverMillis: Long,
+    val reportIntervalMillis: Long = 400,
+    val noticeMillis: Long = 20,
+)
+
+/** Orders the engines that this VM owns; used on the event loop only. */
+internal class EngineOwnerDesk(
+    private val vmName: String,
+    private val settings: OwnerSettings,
+    private val ownership: Ownership,
+    private val view: FleetView,
+    private val orders: EngineOrders,
+    private val scope: CoroutineScope,
+    private val clock: ProcessClock,
+    private val log: DecisionLog,
+    private val checkSuspension: () -> Unit,
+) {
+    private val engines = HashMap<TargetId, OwnedEngine>()
+
+    /** Called when this VM knows that one of its engines holds a copy that was wished for. */
+    var onCopyReady: (KnownTarget, CopyName) -> Unit = { _, _ -> }
+
+    /** Called before a copy is dropped, so that no VM sends requests for it any more. */
+    var onCopyLeaving: (KnownTarget, CopyName) -> Unit = { _, _ -> }
+
+    /** Returns whether this VM may order the engine [targetId] now. */
+    private fun mayOrder(targetId: TargetId): Boolean {
+        val sinceMillis = ownership.ownedSinceMillisOrNull(keyOf(targetId)) ?: return false
+        return clock.nowMillis() - sinceMillis >= settings.takeoverMillis
+    }
+
+    /** Returns what a wish for [copy] at the engine [targetId] can expect. */
+    fun want(targetId: TargetId, copy: CopyName, victims: List<ModelId> = emptyList()): CopyPromise? {
+        val engine = engines[targetId]?.takeIf { mayOrder(targetId) } ?: return null
+        val promise = engine.steward.want(copy, clock.nowMillis(), victims)
+        if (promise is CopyPromise.Coming) {
+            engine.wished += copy
+            drive(targetId, engine)
+        }
+        return promise
+    }
+
+    /** Notes that a VM has used [copy] at the engine [targetId]. */
+    fun noteUse(targetId: TargetId, copy: CopyName) {
+        engines[targetId]?.steward?.noteUse(copy, clock.nowMillis())
+    }
+
+    /** Takes in the targets as they are listed now. */
+    fun onDirectory() {
+        val owned = view.directory.targets.values.filter { specOf(it) != null && isOwned(it.entry.targetId) }
+        engines.keys.retainAll(owned.mapTo(HashSet()) { it.entry.targetId })
+        owned.forEach(::takeEntry)
+    }
+
+    private fun isOwned(targetId: TargetId): Boolean = ownership.ownedSinceMillisOrNull(keyOf(targetId)) != null
+
+    private fun takeEntry(target: KnownTarget) {
+        val spec = specOf(target) ?: return
+        val entry = target.entry
+        val engine = engines[entry.targetId]?.takeIf { it.spec == spec }
+            ?: OwnedEngine(spec).also { engines[entry.targetId] = it }
+        if (engine.entryAtMillis == target.entryAtMillis) return
+        engine.entryAtMillis = target.entryAtMillis
+        engine.steward.onEntry(entry.bornEpochMillis, entry.heldModels, clock.nowMillis())
+    }
+
+    private fun specOf(target: KnownTarget): EngineSpec? = view.catalog?.services?.get(target.entry.service)?.engine
+
+    /** Does what is due; called every few milliseconds. */
+    fun tick() {
+        engines.forEach { (targetId, engine) -> drive(targetId, engine) }
+    }
+
+    private fun drive(targetId: TargetId, engine: OwnedEngine) {
+        announceReady(targetId, engine)
+        if (!mayOrder(targetId)) return
+        val target = view.directory.targets[targetId] ?: return
+        if (engine.steward.needsReport) askForReport(target, engine)
+        val order = engine.steward.nextOrderOrNull(clock.nowMillis()) ?: return
+        scope.launch { send(target, engine, order) }
+    }
+
+    private suspend fun send(target: KnownTarget, engine: OwnedEngine, order: CopyOrder) {
+        if (order.kind == CopyOrderKind.UNLOAD) {
+            onCopyLeaving(target, order.copy)
+            if (!order.copy.isAdapter) delay(settings.noticeMillis)
+        }
+        val result = sendIfAllowed(target, order)
+        log.write(
+            Event.ORDER_ANSWERED,
+            field("target", target.entry.targetId),
+            field("order", order.kind.name.lowercase()),
+            field("copy", order.copy),
+            field("expectedOrders", order.expectedOrders),
+            field("fencingNumber", ownership.generation),
+            field("result", result.name.lowercase()),
+        )
+        engine.steward.onOrderAnswered(order, result, clock.nowMillis())
+        drive(target.entry.targetId, engine)
+    }
+
+    /** The lease is looked at right before the bytes leave, also for time that the steady clock has not counted. */
+    private suspend fun sendIfAllowed(target: KnownTarget, order: CopyOrder): CopyOrderResult {
+        checkSuspension()
+        if (!mayOrder(target.entry.targetId)) return CopyOrderResult.CONFLICT
+        val reply = orders.send(
+            target.socketAddress,
+            target.entry.targetId,
+            EngineOrder(
+                kind = if (order.kind == CopyOrderKind.LOAD) OrderKind.LOAD else OrderKind.UNLOAD,
+                modelId = order.copy.modelId,
+                adapterId = order.copy.adapterId,
+                holder = vmName,
+                fencingNumber = ownership.generation,
+                expectedOrders = order.expectedOrders,
+            ),
+        )
+        return when (reply) {
+            OrderReply.ACCEPTED -> CopyOrderResult.ACCEPTED
+            OrderReply.HELD_ALREADY -> CopyOrderResult.HELD_ALREADY
+            OrderReply.CONFLICT -> CopyOrderResult.CONFLICT
+            OrderReply.REJECTED -> CopyOrderResult.REJECTED
+            OrderReply.UNKNOWN -> CopyOrderResult.UNKNOWN
+        }
+    }
+
+    private fun askForReport(target: KnownTarget, engine: OwnedEngine) {
+        val nowMillis = clock.nowMillis()
+        if (nowMillis < engine.nextReportMillis) return
+        engine.nextReportMillis = nowMillis + settings.reportIntervalMillis
+        scope.launch {
+            orders.report(target.socketAddress, target.entry.targetId).fold(
+                success = {
+                    engine.steward.onReport(
+                        it.bornEpochMillis,
+                        it.ordersAccepted,
+                        it.isCarryingOutOrder,
+                        it.heldModels,
+                        clock.nowMillis(),
+                    )
+                },
+                failure = {
+                    log.write(Event.REPORT_FAILED, field("target", target.entry.targetId), field("error", it))
+                },
+            )
+        }
+    }
+
+    private fun announceReady(targetId: TargetId, engine: OwnedEngine) {
+        if (engine.wished.isEmpty()) return
+        val target = view.directory.targets[targetId] ?: return
+        val nowMillis = clock.nowMillis()
+        val ready = engine.wished.filter { engine.steward.holds(it, nowMillis) }
+        engine.wished -= ready.toSet()
+        ready.forEach { copy ->
+            log.write(Event.LOAD_FINISHED, field("target", targetId), field("copy", copy))
+            onCopyReady(target, copy)
+        }
+    }
+
+    internal companion object {
+        /** Returns the key by which the owner of an engine is found. */
+        fun keyOf(targetId: TargetId): String = "engine/$targetId"
+    }
+}
+
+/** An engine that this VM owns, and the copies there that somebody waits for. */
+private class OwnedEngine(val spec: EngineSpec) {
+    val steward = CopySteward(spec)
+    val wished = LinkedHashSet<CopyName>()
+    var entryAtMillis = Long.MIN_VALUE
+    var nextReportMillis = Long.MIN_VALUE
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
@@ -106,10 +106,11 @@
     }
 
     private suspend fun readOwners() {
-        val asked = generation
-        val named = group.owners().getOrElse { return watch.onError(it) }
-        owners = named.mapNotNull { (partition, name) -> Peer.parseOrNull(name)?.let { partition to it } }.toMap()
-        ownersGeneration = asked
+        val list = group.owners().getOrElse { return watch.onError(it) }
+        owners = list.ownerNames.mapNotNull { (partition, name) ->
+            Peer.parseOrNull(name)?.let { partition to it }
+        }.toMap()
+        ownersGeneration = list.generation
     }
 
     /** Returns the partition of [key]. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMessage
@@ -61,7 +62,7 @@
         override fun cancel() {
             if (listener !== own) return
             listener = null
-            close()
+            reset()
         }
 
         override fun setReading(isReading: Boolean) {
@@ -69,6 +70,12 @@
         }
     }
 
+    /** Closes the connection so that bytes that are still on their way are dropped, not delivered later. */
+    private fun reset() {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        close()
+    }
+
     fun close() {
         mayReuse = false
         channel.close()
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
@@ -77,12 +77,13 @@
 private class RunningCollector(var terms: MemberTerms, val collector: AllotmentCollector)
 
 private fun AllotmentReport.toMessage(memberId: MemberId): AllotmentReportMessage =
-    AllotmentReportMessage(memberId.value, number, usedCost, demandPerSecond, knownLevel)
+    AllotmentReportMessage(memberId.value, number, usedCost, demandPerSecond, knownLevel, neededCost)
 
 private fun AllotmentReportMessage.toReport(): AllotmentReport =
-    AllotmentReport(number, usedCost, demandPerSecond, knownLevel)
+    AllotmentReport(number, usedCost, demandPerSecond, neededCost, knownLevel)
 
 private fun AllotmentGrant.toMessage(memberId: MemberId): AllotmentGrantMessage =
-    AllotmentGrantMessage(memberId.value, reportNumber, level, share, seenUsedCost)
+    AllotmentGrantMessage(memberId.value, reportNumber, level, share, seenUsedCost, tokens)
 
-private fun AllotmentGrantMessage.toGrant(): AllotmentGrant = AllotmentGrant(reportNumber, level, share, seenUsedCost)
+private fun AllotmentGrantMessage.toGrant(): AllotmentGrant =
+    AllotmentGrant(reportNumber, level, share, tokens, seenUsedCost)
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -18,8 +18,10 @@
     @ProtoNumber(5) val grants: List<AllotmentGrantMessage> = emptyList(),
     @ProtoNumber(6) val wants: List<CopyWantMessage> = emptyList(),
     @ProtoNumber(7) val replies: List<CopyReplyMessage> = emptyList(),
-    @ProtoNumber(8) val uses: List<CopyUseMessage> = emptyList(),
+    @ProtoNumber(8) val uses: List<CopyAtMessage> = emptyList(),
     @ProtoNumber(9) val crashRecords: List<String> = emptyList(),
+    @ProtoNumber(10) val leaving: List<CopyAtMessage> = emptyList(),
+    @ProtoNumber(11) val demands: List<DemandMessage> = emptyList(),
 )
 
 /** A member's use at the sender, for the member's collector. */
@@ -30,6 +32,7 @@
     @ProtoNumber(3) val usedCost: Double,
     @ProtoNumber(4) val demandPerSecond: Double,
     @ProtoNumber(5) val knownLevel: Double,
+    @ProtoNumber(6) val neededCost: Double = 0.0,
 )
 
 /** The collector's answer. */
@@ -40,33 +43,48 @@
     @ProtoNumber(3) val level: Double,
     @ProtoNumber(4) val share: Double,
     @ProtoNumber(5) val seenUsedCost: Double,
+    @ProtoNumber(6) val tokens: Double = 0.0,
 )
 
-/** Asks the owner of [targetId] to load a copy there; sent again until it is answered. */
+/**
+ * Asks for a copy; sent again until it is answered.
+ *
+ * @property targetId the engine whose owner is asked, or empty if the planner of [service] is asked.
+ * @property victims models that may be dropped for it.
+ */
 @Serializable
 internal class CopyWantMessage(
     @ProtoNumber(1) val number: Long,
-    @ProtoNumber(2) val targetId: String,
+    @ProtoNumber(2) val targetId: String = "",
     @ProtoNumber(3) val modelId: String,
     @ProtoNumber(4) val adapterId: String = "",
-    @ProtoNumber(5) val isSpread: Boolean = false,
+    @ProtoNumber(5) val service: String = "",
+    @ProtoNumber(6) val victims: List<String> = emptyList(),
 )
 
-/** The owner's answer; [readyInMillis] is below 0 if the copy won't be loaded. */
+/** The answer; [readyInMillis] is below 0 if the copy won't be loaded, and [targetId] the engine if it is known. */
 @Serializable
 internal class CopyReplyMessage(
     @ProtoNumber(1) val number: Long,
     @ProtoNumber(2) val readyInMillis: Long,
     @ProtoNumber(3) val reason: String = "",
+    @ProtoNumber(4) val targetId: String = "",
 )
 
-/** Says that the sender has used a copy lately. */
+/** Names a copy at an engine: one that the sender uses, or one that its owner is about to drop. */
 @Serializable
-internal class CopyUseMessage(
+internal class CopyAtMessage(
     @ProtoNumber(1) val targetId: String,
     @ProtoNumber(2) val modelId: String,
     @ProtoNumber(3) val adapterId: String = "",
-    @ProtoNumber(4) val openAttempts: Int = 0,
+)
+
+/** How many requests for a model have arrived at the sender lately, for the planner of [service]. */
+@Serializable
+internal class DemandMessage(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val modelId: String,
+    @ProtoNumber(3) val requests: Int,
 )
 
 private val protoBuf = ProtoBuf { encodeDefaults = false }
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -1,42 +1,189 @@
 package org.banyanturn.entry.peers
 
-import io.netty.channel.EventLoopGroup
+import org.banyanturn.core.AdapterId
 import org.banyanturn.core.Incarnation
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.TargetId
 import org.banyanturn.core.VmId
 import org.banyanturn.core.isIdentifier
+import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.placement.CopyPromise
+import org.banyanturn.core.placement.LoadPlan
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.entry.copies.Asker
+import org.banyanturn.entry.copies.CopyAnswer
+import org.banyanturn.entry.copies.CopyQuestions
+import org.banyanturn.entry.copies.CopyRequests
+import org.banyanturn.entry.copies.EngineOwnerDesk
+import org.banyanturn.entry.copies.PlannerDesk
+import org.banyanturn.entry.copies.PlannerLines
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.Peer
 import org.banyanturn.entry.requests.FleetView
-import org.banyanturn.platform.hosted.VmBoot
 
-/** Talks to the other VMs. */
+/** How a copy that won't be loaded is said in a datagram. */
+private const val DECLINED = -1L
+
+/** Carries what the parts of this VM have to say to those of the others, and back. */
 internal class PeerDesk(
-    group: EventLoopGroup,
-    boot: VmBoot,
     private val self: Peer,
     private val ownership: Ownership,
     private val allotments: AllotmentExchange,
+    private val copyRequests: CopyRequests,
+    private val planner: PlannerDesk,
+    private val engines: EngineOwnerDesk,
     private val view: FleetView,
-) {
-    private val socket = PeerSocket(group, boot.address, boot.peerPort, ::onDatagram)
+) : CopyQuestions, PlannerLines {
+    private val waiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
+
+    /** Where datagrams go. */
+    lateinit var socket: PeerSocket
 
-    /** Sends what is due; called every few milliseconds. */
-    fun sendDue() {
+    /** Sends the reports that are due; called every few milliseconds. */
+    fun sendReports() {
         allotments.dueReports().forEach { (peer, reports) -> send(peer.host, reports = reports) }
     }
 
-    private fun onDatagram(datagram: PeerDatagram, senderHost: String) {
+    /** Tells the engines' owners which copies this VM uses, and the planners what its callers ask for. */
+    fun sendUses() {
+        val usesByOwner = LinkedHashMap<Peer, MutableList<CopyAtMessage>>()
+        view.takeUses().forEach { (targetId, copies) ->
+            val owner = ownerOrNull(targetId) ?: return@forEach
+            if (ownership.isSelf(owner)) {
+                copies.forEach { engines.noteUse(targetId, it) }
+            } else {
+                usesByOwner.getOrPut(owner) { ArrayList() } += copies.map { it.at(targetId) }
+            }
+        }
+        val demandsByPlanner = LinkedHashMap<Peer, MutableList<DemandMessage>>()
+        view.takeDemands().forEach { (asked, requests) ->
+            val (service, modelId) = asked
+            val peer = plannerOrNull(service) ?: return@forEach
+            if (ownership.isSelf(peer)) {
+                planner.noteDemand(service, modelId, requests)
+            } else {
+                demandsByPlanner.getOrPut(peer) { ArrayList() } += DemandMessage(service.value, modelId.value, requests)
+            }
+        }
+        (usesByOwner.keys + demandsByPlanner.keys).forEach { peer ->
+            send(peer.host, uses = usesByOwner[peer].orEmpty(), demands = demandsByPlanner[peer].orEmpty())
+        }
+    }
+
+    override fun askOwner(number: Long, targetId: TargetId, copy: CopyName): Boolean =
+        askOwner(copy.toWant(number, targetId, emptyList()), targetId) { copyRequests.onAnswer(it) }
+
+    override fun order(number: Long, plan: LoadPlan): Boolean {
+        val want = CopyName(plan.modelId).toWant(number, plan.targetId, plan.victims)
+        return askOwner(want, plan.targetId) { planner.onAnswer(it) }
+    }
+
+    private fun askOwner(want: CopyWantMessage, targetId: TargetId, onOwnAnswer: (CopyAnswer) -> Unit): Boolean {
+        val owner = ownerOrNull(targetId) ?: return false
+        if (ownership.isSelf(owner)) {
+            onOwnAnswer(ownerAnswer(want, targetId).toAnswer())
+        } else {
+            send(owner.host, wants = listOf(want))
+        }
+        return true
+    }
+
+    override fun askPlanner(number: Long, service: ServiceName, copy: CopyName): Boolean {
+        val peer = plannerOrNull(service) ?: return false
+        if (ownership.isSelf(peer)) {
+            planner.want(service, copy, Asker(host = null, number))
+        } else {
+            send(peer.host, wants = listOf(CopyWantMessage(number, modelId = copy.modelId.value, service = service.value)))
+        }
+        return true
+    }
+
+    override fun answer(asker: Asker, answer: CopyAnswer) {
+        if (asker.host == null) copyRequests.onAnswer(answer) else send(asker.host, replies = listOf(answer.toMessage()))
+    }
+
+    /** Tells all who wait for it that [target] holds [copy]. */
+    fun announceReady(target: KnownTarget, copy: CopyName) {
+        val targetId = target.entry.targetId
+        copyRequests.onReady(targetId, copy)
+        planner.onReady(targetId, copy)
+        waiters.remove(targetId to copy)?.forEach { (host, number) ->
+            send(host, replies = listOf(CopyReplyMessage(number, readyInMillis = 0, targetId = targetId.value)))
+        }
+    }
+
+    /** Tells all VMs that [copy] at [target] is about to be dropped. */
+    fun announceLeaving(target: KnownTarget, copy: CopyName) {
+        view.noteCopy(target, copy, isPresent = false)
+        val leaving = listOf(copy.at(target.entry.targetId))
+        ownership.peers.filterNot(ownership::isSelf).forEach { send(it.host, leaving = leaving) }
+    }
+
+    private fun ownerOrNull(targetId: TargetId): Peer? = ownership.ownerOrNull(EngineOwnerDesk.keyOf(targetId))
+
+    private fun plannerOrNull(service: ServiceName): Peer? = ownership.ownerOrNull("planner/${service.value}")
+
+    /** Takes in a datagram of another VM. */
+    fun onDatagram(datagram: PeerDatagram, senderHost: String) {
         if (!isIdentifier(datagram.vmId)) return
         val from = Incarnation(VmId(datagram.vmId), datagram.incarnation)
         if (datagram.grants.isNotEmpty()) allotments.onGrants(datagram.grants)
+        datagram.replies.map { it.toAnswer() }.forEach { answer ->
+            copyRequests.onAnswer(answer)
+            planner.onAnswer(answer)
+        }
+        datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.noteUse(TargetId(use.targetId), it) } }
+        datagram.leaving.forEach(::takeLeaving)
+        datagram.demands.filter { isIdentifier(it.modelId) }.forEach {
+            planner.noteDemand(ServiceName(it.service), ModelId(it.modelId), it.requests)
+        }
         val grants = allotments.answer(from, datagram.reports)
-        if (grants.isNotEmpty()) send(senderHost, grants = grants)
+        val replies = datagram.wants.mapNotNull { takeWant(it, senderHost) }
+        if (grants.isNotEmpty() || replies.isNotEmpty()) send(senderHost, grants = grants, replies = replies)
+    }
+
+    private fun takeLeaving(message: CopyAtMessage) {
+        val copy = message.copyOrNull() ?: return
+        view.directory.targets[TargetId(message.targetId)]?.let { view.noteCopy(it, copy, isPresent = false) }
+    }
+
+    private fun takeWant(want: CopyWantMessage, senderHost: String): CopyReplyMessage? {
+        if (!isIdentifier(want.modelId)) return null
+        if (want.targetId.isEmpty()) {
+            planner.want(ServiceName(want.service), CopyName(ModelId(want.modelId)), Asker(senderHost, want.number))
+            return null
+        }
+        val targetId = want.targetId.takeIf(::isIdentifier)?.let(::TargetId) ?: return null
+        val reply = ownerAnswer(want, targetId)
+        if (reply.readyInMillis > 0) {
+            val copy = copyNameOrNull(want.modelId, want.adapterId) ?: return null
+            waiters.getOrPut(targetId to copy) { HashMap() }[senderHost] = want.number
+        }
+        return reply
+    }
+
+    private fun ownerAnswer(want: CopyWantMessage, targetId: TargetId): CopyReplyMessage {
+        val copy = copyNameOrNull(want.modelId, want.adapterId)
+            ?: return CopyReplyMessage(want.number, DECLINED, "malformed")
+        val victims = want.victims.filter(::isIdentifier).map(::ModelId)
+        return when (val promise = engines.want(targetId, copy, victims)) {
+            null -> CopyReplyMessage(want.number, DECLINED, "not_owner")
+            CopyPromise.Ready -> CopyReplyMessage(want.number, readyInMillis = 0, targetId = targetId.value)
+            is CopyPromise.Coming -> CopyReplyMessage(want.number, promise.inMillis.coerceAtLeast(1))
+            is CopyPromise.Declined -> CopyReplyMessage(want.number, DECLINED, promise.reason.name.lowercase())
+        }
     }
 
     private fun send(
         host: String,
         reports: List<AllotmentReportMessage> = emptyList(),
         grants: List<AllotmentGrantMessage> = emptyList(),
+        wants: List<CopyWantMessage> = emptyList(),
+        replies: List<CopyReplyMessage> = emptyList(),
+        uses: List<CopyAtMessage> = emptyList(),
+        leaving: List<CopyAtMessage> = emptyList(),
+        demands: List<DemandMessage> = emptyList(),
     ) {
         val datagram = PeerDatagram(
             vmId = self.incarnation.vmId.value,
@@ -44,7 +191,38 @@
             catalogVersion = view.catalog?.version ?: -1,
             reports = reports,
             grants = grants,
+            wants = wants,
+            replies = replies,
+            uses = uses,
+            leaving = leaving,
+            demands = demands,
         )
         socket.send(host, datagram)
     }
 }
+
+private fun copyNameOrNull(modelId: String, adapterId: String): CopyName? {
+    if (!isIdentifier(modelId) || (adapterId.isNotEmpty() && !isIdentifier(adapterId))) return null
+    return CopyName(ModelId(modelId), adapterId.takeIf { it.isNotEmpty() }?.let(::AdapterId))
+}
+
+private fun CopyAtMessage.copyOrNull(): CopyName? =
+    if (isIdentifier(targetId)) copyNameOrNull(modelId, adapterId) else null
+
+private fun CopyName.toWant(number: Long, targetId: TargetId, victims: List<ModelId>): CopyWantMessage =
+    CopyWantMessage(
+        number = number,
+        targetId = targetId.value,
+        modelId = modelId.value,
+        adapterId = adapterId?.value.orEmpty(),
+        victims = victims.map { it.value },
+    )
+
+private fun CopyName.at(targetId: TargetId): CopyAtMessage =
+    CopyAtMessage(targetId.value, modelId.value, adapterId?.value.orEmpty())
+
+private fun CopyReplyMessage.toAnswer(): CopyAnswer =
+    CopyAnswer(number, readyInMillis.takeIf { it >= 0 }, targetId.takeIf(::isIdentifier)?.let(::TargetId), reason)
+
+private fun CopyAnswer.toMessage(): CopyReplyMessage =
+    CopyReplyMessage(number, readyInMillis ?: DECLINED, reason, targetId?.value.orEmpty())
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -1,6 +1,6 @@
 package org.banyanturn.entry.requests
 
-import org.banyanturn.core.AdapterId
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
@@ -10,15 +10,11 @@
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.EngineDirectory
 import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.platform.hosted.SocketAddressText
 import org.banyanturn.platform.hosted.parseSocketAddressOrNull
 
-/** A copy of a model, or of one of its adapters. */
-internal data class CopyName(val modelId: ModelId, val adapterId: AdapterId?) {
-    override fun toString(): String = adapterId?.let { "$modelId/$it" } ?: modelId.value
-}
-
 /** What this VM knows of one target from its own requests. */
 internal class TargetState(slots: Int, reportLifeMillis: Long, breakerSettings: CircuitBreakerSettings) {
     var load = targetLoadOf(slots, reportLifeMillis)
@@ -29,6 +25,32 @@
 
     /** Attempts of this VM that are under way there. */
     var openAttempts = 0
+        private set
+
+    private val openByCopy = HashMap<CopyName, Int>()
+    private val usedCopies = HashSet<CopyName>()
+
+    /** Notes that an attempt that uses [copy] has begun. */
+    fun begin(copy: CopyName?) {
+        openAttempts++
+        if (copy == null) return
+        openByCopy.merge(copy, 1, Int::plus)
+        usedCopies += copy
+    }
+
+    /** Notes that an attempt that used [copy] has ended. */
+    fun end(copy: CopyName?) {
+        openAttempts--
+        if (copy == null) return
+        openByCopy.computeIfPresent(copy) { _, count -> if (count > 1) count - 1 else null }
+    }
+
+    /** Returns the copies that were used since the last call, or are still in use. */
+    fun takeUses(): Set<CopyName> {
+        val used = usedCopies + openByCopy.keys
+        usedCopies.clear()
+        return used
+    }
 }
 
 /** Word of a copy that is newer than the target's entry. */
@@ -39,6 +61,7 @@
     val engineReportLifeMillis: Long = 1_500,
     val serviceReportLifeMillis: Long = 300,
     val copyNewsMillis: Long = 3_000,
+    val absenceNewsMillis: Long = 5_000,
     val breaker: CircuitBreakerSettings = CircuitBreakerSettings(
         failuresToOpen = 3,
         openMillis = 1_000,
@@ -54,6 +77,7 @@
     private val settings: FleetViewSettings = FleetViewSettings(),
 ) {
     private val states = HashMap<TargetId, TargetState>()
+    private val demands = HashMap<Pair<ServiceName, ModelId>, Int>()
     private val watchers = ArrayList<() -> Unit>()
 
     /** What operators have declared, or `null` while it is not known. */
@@ -97,17 +121,32 @@
             TargetState(target.entry.slots, life, settings.breaker)
         }
 
+    /** Notes that a request for [modelId] of [service] has arrived. */
+    fun noteDemand(service: ServiceName, modelId: ModelId) {
+        demands.merge(service to modelId, 1, Int::plus)
+    }
+
+    /** Returns how many requests for each model have arrived since the last call. */
+    fun takeDemands(): Map<Pair<ServiceName, ModelId>, Int> = demands.toMap().also { demands.clear() }
+
+    /** Returns the copies that this VM has used since the last call, or still uses, by target. */
+    fun takeUses(): Map<TargetId, Set<CopyName>> =
+        states.mapValues { (_, state) -> state.takeUses() }.filterValues { it.isNotEmpty() }
+
     /** Returns whether [target] is taken to hold [copy]. */
     fun holds(target: KnownTarget, copy: CopyName): Boolean {
-        val news = stateOf(target).copyNews[copy]
-        if (news != null && clock.nowMillis() < news.untilMillis) return news.isPresent
+        val nowMillis = clock.nowMillis()
+        val news = stateOf(target).copyNews
+        news[copy]?.let { if (nowMillis < it.untilMillis) return it.isPresent }
+        if (copy.isAdapter && news[copy.model]?.let { nowMillis < it.untilMillis && !it.isPresent } == true) return false
         val held = target.entry.heldModels[copy.modelId] ?: return false
         return copy.adapterId == null || copy.adapterId in held.adapters
     }
 
     /** Notes that [copy] is or is not at [target], which goes before the target's entry for a while. */
     fun noteCopy(target: KnownTarget, copy: CopyName, isPresent: Boolean) {
-        val untilMillis = clock.nowMillis() + settings.copyNewsMillis
+        val lifeMillis = if (isPresent) settings.copyNewsMillis else settings.absenceNewsMillis
+        val untilMillis = clock.nowMillis() + lifeMillis
         stateOf(target).copyNews[copy] = CopyNews(isPresent, untilMillis)
         notifyWatchers()
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
@@ -8,21 +8,44 @@
 import org.banyanturn.core.limits.RateDecision
 import org.banyanturn.core.serving.MemberTerms
 
+/** A request that waits for room in its member's limit; it is told the decision once. */
+internal class LimitedRequest(
+    val cost: Double,
+    val arrivedAtMillis: Long,
+    val onDecision: (RateDecision) -> Unit,
+)
+
 /** This VM's parts of the members' limits. */
 internal class MemberLimits(
     private val vmCount: () -> Int,
+    private val initialFraction: Double,
     private val settings: AllotmentSettings = AllotmentSettings(),
 ) {
     private val shares = HashMap<MemberId, LimitedMember>()
 
-    /** Notes that a request of a member with [terms] and [cost] has arrived. */
-    fun recordArrival(terms: MemberTerms, cost: Double, nowMillis: Long) {
-        shareOrNull(terms, nowMillis)?.recordDemand(cost, nowMillis)
+    /** Decides on [request] of a member with [terms], now or when there is room or the wait is over. */
+    fun submit(terms: MemberTerms, request: LimitedRequest, nowMillis: Long) {
+        val limited = limitedOrNull(terms, nowMillis) ?: return request.onDecision(RateDecision.Admitted)
+        limited.share.recordDemand(request.cost, nowMillis)
+        limited.waiting.addLast(request)
+        decide(limited, nowMillis)
+    }
+
+    /** Decides on the requests that wait, in the order of their arrival; called every few milliseconds. */
+    fun tick(nowMillis: Long) {
+        shares.values.forEach { if (it.waiting.isNotEmpty()) decide(it, nowMillis) }
     }
 
-    /** Returns whether a request with [cost] that came at [arrivedAtMillis] may run. */
-    fun tryAcquire(terms: MemberTerms, cost: Double, nowMillis: Long, arrivedAtMillis: Long): RateDecision =
-        shareOrNull(terms, nowMillis)?.tryAcquire(cost, vmCount(), nowMillis, arrivedAtMillis) ?: RateDecision.Admitted
+    private fun decide(limited: LimitedMember, nowMillis: Long) {
+        while (limited.waiting.isNotEmpty()) {
+            val request = limited.waiting.first()
+            val decision = limited.share.tryAcquire(request.cost, vmCount(), nowMillis, request.arrivedAtMillis)
+            if (decision is RateDecision.Undecided) break
+            limited.waiting.removeFirst()
+            request.onDecision(decision)
+        }
+        limited.share.setWaiting(limited.waiting.sumOf { it.cost })
+    }
 
     /** Takes back the [cost] of a request that has not run. */
     fun refund(terms: MemberTerms, cost: Double) {
@@ -40,20 +63,24 @@
 
     /** Takes in the collector's answer on [memberId]. */
     fun onGrant(memberId: MemberId, grant: AllotmentGrant, nowMillis: Long) {
-        shares[memberId]?.share?.onGrant(grant, nowMillis)
+        val limited = shares[memberId] ?: return
+        limited.share.onGrant(grant, nowMillis)
+        decide(limited, nowMillis)
     }
 
-    private fun shareOrNull(terms: MemberTerms, nowMillis: Long): AllotmentShare? {
+    private fun limitedOrNull(terms: MemberTerms, nowMillis: Long): LimitedMember? {
         val ratePerSecond = terms.ratePerSecond ?: return null
         val limited = shares.getOrPut(terms.memberId) {
-            LimitedMember(terms, AllotmentShare(ratePerSecond, terms.burst, settings, nowMillis))
+            LimitedMember(terms, AllotmentShare(ratePerSecond, terms.burst, settings, nowMillis, initialFraction))
         }
         if (limited.terms !== terms) {
             limited.terms = terms
             limited.share.setLimit(ratePerSecond, terms.burst, vmCount(), nowMillis)
         }
-        return limited.share
+        return limited
     }
 }
 
-private class LimitedMember(var terms: MemberTerms, val share: AllotmentShare)
+private class LimitedMember(var terms: MemberTerms, val share: AllotmentShare) {
+    val waiting = ArrayDeque<LimitedRequest>()
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.delivery.AttemptEvidence
 import org.banyanturn.core.delivery.AttemptId
 import org.banyanturn.core.serving.KnownTarget
@@ -25,12 +26,13 @@
 internal class OpenAttempt(
     val attemptId: AttemptId,
     val target: KnownTarget,
-    private val state: TargetState,
+    private val copy: CopyName?,
     private val environment: RequestEnvironment,
     private val receiver: AnswerReceiver,
     private val sentAtMillis: Long,
     private val callerAttemptId: String?,
 ) : AttemptListener, AnswerMatcher {
+    private val state = environment.view.stateOf(target)
     private var attempt: TargetAttempt? = null
     private var isSettled = false
     private var head: HttpResponse? = null
@@ -120,13 +122,10 @@
     }
 
     private fun refused(code: Int) {
-        val copy = receiverCopy()
         if (isMisdirected(code) && copy != null) environment.view.noteCopy(target, copy, isPresent = false)
         fail(AttemptEvidence.REFUSED, "not run, status $code")
     }
 
-    private fun receiverCopy(): CopyName? = (receiver as? WaitingRequest)?.need?.copy
-
     /** A target's own failure: repeated where that does no harm, and otherwise the caller's answer. */
     private fun failingAnswer(code: Int) {
         if (code >= FIRST_SERVER_ERROR) noteFailure()
@@ -167,7 +166,7 @@
     private fun settle() {
         isSettled = true
         state.load = state.load.ended(attemptId.value, environment.clock.nowMillis())
-        state.openAttempts--
+        state.end(copy)
     }
 
     private fun releaseBody() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -9,15 +9,11 @@
 import org.banyanturn.entry.http.CallerExchange
 import org.banyanturn.platform.hosted.CallerHeaders
 import org.banyanturn.platform.hosted.readCallerHeaders
-import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /** When a caller is told to come back to a VM that does not know yet what it serves. */
 private const val UNREADY_RETRY_MILLIS = 500L
 
-/** How often a request that waits for room in its member's limit is looked at again. */
-private const val LIMIT_POLL_MILLIS = 10L
-
 /** Returns of callers that were refused for their limit are spread over this part of the wait. */
 private const val RETURN_SPREAD = 0.5
 
@@ -35,7 +31,6 @@
         val member = call.key?.let(catalog::memberOrNull)
         if (member == null && catalog.hasMembers && !route.isPublic) return refuse(exchange, call, OwnRefusal.UnknownKey)
         val admission = Admission(exchange, call, route, member.takeUnless { route.isPublic && call.key == null })
-        if (admission.member != null) environment.limits.recordArrival(admission.member, admission.cost, now())
         admit(admission)
     }
 
@@ -46,19 +41,16 @@
     }
 
     private fun admit(admission: Admission) {
-        if (admission.exchange.hasEnded) return
         val member = admission.member ?: return start(admission)
-        val arrivedAtMillis = admission.exchange.arrivedAtMillis
-        when (val decision = environment.limits.tryAcquire(member, admission.cost, now(), arrivedAtMillis)) {
-            RateDecision.Admitted -> start(admission)
-            is RateDecision.Undecided -> admitLater(admission)
-            is RateDecision.Refused -> refuseOverLimit(admission, decision.retryAfterMillis)
-            RateDecision.Impossible -> refuseOverLimit(admission, UNREADY_RETRY_MILLIS)
+        val request = LimitedRequest(admission.cost, admission.exchange.arrivedAtMillis) { decision ->
+            if (admission.exchange.hasEnded) return@LimitedRequest
+            when (decision) {
+                is RateDecision.Refused -> refuseOverLimit(admission, decision.retryAfterMillis)
+                RateDecision.Impossible -> refuseOverLimit(admission, UNREADY_RETRY_MILLIS)
+                RateDecision.Admitted, is RateDecision.Undecided -> start(admission)
+            }
         }
-    }
-
-    private fun admitLater(admission: Admission) {
-        environment.loop.schedule({ admit(admission) }, LIMIT_POLL_MILLIS, TimeUnit.MILLISECONDS)
+        environment.limits.submit(member, request, now())
     }
 
     private fun refuseOverLimit(admission: Admission, retryAfterMillis: Long) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RouteTimes.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RouteTimes.kt
@@ -14,6 +14,9 @@
     /** Returns how long a whole answer takes on average, in milliseconds. */
     fun wholeAnswerMillis(): Long = (wholeMillis ?: DEFAULT_MILLIS).toLong()
 
+    /** Returns how long the first part of an answer takes on average, in milliseconds. */
+    fun firstPartMillis(): Long = (firstMillis ?: DEFAULT_MILLIS).toLong()
+
     private fun average(known: Double?, sample: Long): Double =
         if (known == null) sample.toDouble() else known + WEIGHT * (sample - known)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.delivery.AnswerChunk
 import org.banyanturn.core.delivery.AttemptEvidence
@@ -75,6 +76,7 @@
     /** Begins to serve the request. */
     fun start() {
         exchange.listener = this
+        copy?.let { environment.view.noteDemand(service, it.modelId) }
         handle(RequestEvent.Started)
     }
 
@@ -122,8 +124,13 @@
         }
     }
 
+    /** Until when a target must take the request so that its caller still gets the answer. */
+    private val startByMillis: Long = minOf(
+        deadlineMillis - times.wholeAnswerMillis(),
+        exchange.arrivedAtMillis + (route.firstEventPatienceMillis ?: Long.MAX_VALUE / 2) - times.firstPartMillis(),
+    )
+
     private fun waitForRoom() {
-        val startByMillis = deadlineMillis - times.wholeAnswerMillis()
         val patienceMillis = minOf(startByMillis - now(), route.targetLatencyMillis)
         if (patienceMillis <= 0) return refuseForNow("busy", times.wholeAnswerMillis())
         join(now() + patienceMillis)
@@ -134,12 +141,8 @@
             is CopyOutlook.Unavailable -> refuseForNow("no_copy", outlook.retryAfterMillis)
 
             is CopyOutlook.Coming -> {
-                val startByMillis = deadlineMillis - times.wholeAnswerMillis()
-                if (now() + outlook.readyInMillis > startByMillis) {
-                    refuseForNow("copy_too_late", outlook.readyInMillis)
-                } else {
-                    join(startByMillis)
-                }
+                val isInTime = now() + outlook.readyInMillis <= startByMillis
+                if (isInTime) join(startByMillis) else refuseForNow("copy_too_late", outlook.readyInMillis)
             }
         }
     }
@@ -152,7 +155,9 @@
 
     private fun refuseForNow(reason: String, retryAfterMillis: Long) {
         environment.log.notPlaced(id, reason, service.value, copy?.toString())
-        handle(RequestEvent.NoTarget(retryAfterMillis + spread(retryAfterMillis, environment.random)))
+        val wantedMillis = retryAfterMillis + spread(retryAfterMillis, environment.random)
+        val heededMillis = ((deadlineMillis - now()) * HEEDED_FRACTION).toLong()
+        handle(RequestEvent.NoTarget(minOf(wantedMillis, heededMillis).coerceAtLeast(1)))
     }
 
     override fun onTarget(target: KnownTarget) {
@@ -172,9 +177,9 @@
         val request = requestTo(target)
         state.load = state.load.sent(attemptId.value, now())
         state.breaker = state.breaker.requestSent(now())
-        state.openAttempts++
+        state.begin(copy)
         environment.log.sent(id, attemptId.value, target.entry, state.load.requestsAt(now()), now() - exchange.arrivedAtMillis)
-        val open = OpenAttempt(attemptId, target, state, environment, this, now(), admission.call.attemptId)
+        val open = OpenAttempt(attemptId, target, copy, environment, this, now(), admission.call.attemptId)
         current = open
         val maxIdleMillis = if (route.mayRepeat) RequestLimits.KEPT_IDLE_MILLIS else RequestLimits.ONCE_IDLE_MILLIS
         open.begin(environment.channels.send(target.socketAddress, request, open, open, maxIdleMillis))
@@ -305,6 +310,9 @@
 
     private companion object {
         const val STATUS_OK = 200
+
+        /** Callers heed a wait of up to a third of the time that they have left. */
+        const val HEEDED_FRACTION = 0.32
     }
 }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.requests
 
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.routing.CircuitState
 import org.banyanturn.core.routing.CopyChooser
@@ -60,8 +61,12 @@
         return choose(fresh, need)
     }
 
+    /** Returns the targets that hold the model that [need] asks for. */
+    fun modelHolders(need: TargetNeed): List<KnownTarget> =
+        modelHolders(view.directory.byService[need.service].orEmpty().filter { it.takesRequests }, need)
+
     private fun modelHolders(serving: List<KnownTarget>, need: TargetNeed): List<KnownTarget> {
-        val model = need.copy?.copy(adapterId = null) ?: return emptyList()
+        val model = need.copy?.model ?: return emptyList()
         return serving.filter { view.holds(it, model) }
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.requests
 
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.MemberId
 import org.banyanturn.core.queueing.FairQueue
 import org.banyanturn.core.queueing.QueuedRequest
@@ -28,6 +29,9 @@
     private val requests = HashMap<String, WaitingRequest>()
     private var isServing = false
 
+    /** Called when requests wait for an adapter that no engine holds, though engines hold its model. */
+    var onCopyMissing: (TargetNeed) -> Unit = {}
+
     /** How many requests wait. */
     val size: Int
         get() = requests.size
@@ -47,6 +51,21 @@
         lanes[laneOf(request.need)]?.removeOrNull(id)
     }
 
+    /** Returns the need of a request that waits for [copy], or `null` if none does. */
+    fun needOrNull(copy: CopyName): TargetNeed? {
+        val lane = lanes.entries.firstOrNull { it.key.copy == copy }?.value ?: return null
+        return lane.toList().firstNotNullOfOrNull { requests[it.requestId] }?.need
+    }
+
+    /** Ends the waits of all requests that wait for what [need] asks for. */
+    fun giveUp(need: TargetNeed) {
+        val lane = lanes[laneOf(need)] ?: return
+        lane.toList().forEach { queued ->
+            lane.removeOrNull(queued.requestId)
+            requests.remove(queued.requestId)?.onWaitOver()
+        }
+    }
+
     /** Gives targets to the requests whose turn it is, and ends the waits that are over. */
     fun serve() {
         if (isServing) return
@@ -64,6 +83,8 @@
         lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
         val sample = lane.toList().firstOrNull() ?: return
         val need = requests[sample.requestId]?.need ?: return
+        val placed = placement.place(need)
+        if (placed is Placement.CopyMissing && placed.modelHolders.isNotEmpty()) return onCopyMissing(need)
         while (lane.size > 0 && placement.place(need) is Placement.Send) {
             val request = lane.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
             when (val placed = placement.place(request.need)) {
