--- a/core/src/main/kotlin/org/banyanturn/core/StableHash.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/StableHash.kt
@@ -8,6 +8,13 @@
 /** Returns a 64-bit hash of [text] that is the same on every VM and in every version. */
 public fun stableHash(text: String): Long {
     val hash = text.encodeToByteArray().fold(FNV_OFFSET_BASIS) { hash, byte -> (hash xor byte.toLong()) * FNV_PRIME }
+    return mix(hash)
+}
+
+/** Returns a hash of two hashes, which is the same on every VM; for choosing by the highest one. */
+public fun mixedHash(first: Long, second: Long): Long = mix(first * FNV_PRIME xor second)
+
+private fun mix(hash: Long): Long {
     val mixed = (hash xor (hash ushr MIX_SHIFT)) * MIX_MULTIPLIER
     return mixed xor (mixed ushr MIX_SHIFT)
 }
--- a/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -9,7 +9,10 @@
 /** Demand that every VM is taken to have at least, as a part of the rate, so that a VM that wakes up has a share. */
 private const val LEAST_DEMAND_FRACTION = 0.02
 
-/** How long a VM's last report counts. */
+/** How long a VM is remembered that says nothing; its next report must not count again what the last one counted. */
+private const val REMEMBERED_MILLIS = 600_000L
+
+/** How long a VM's last report tells of its demand. */
 private const val REPORT_LIFE_MILLIS = 3_000L
 
 /** How long cost units stay promised to a VM that has not reported their use. */
@@ -55,7 +58,7 @@
         val promisedToOthers = holders.values.sumOf { if (it === holder) 0.0 else it.promisedCost }
         val free = current - promisedToOthers
         val part = min(free, burst) * share
-        val tokens = if (report.neededCost in part..free) report.neededCost else part
+        val tokens = if (report.neededCost > part) max(part, min(report.neededCost, free)) else part
         holder.promise(if (tokens > part) tokens else 0.0, nowMillis)
         return AllotmentGrant(report.number, current, share, tokens, holder.usedCost)
     }
@@ -65,7 +68,7 @@
         val filled = ratePerSecond * (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND
         level = level?.let { min(burst, it + filled) }
         refilledAtMillis = nowMillis
-        holders.values.removeIf { nowMillis - it.heardAtMillis > REPORT_LIFE_MILLIS }
+        holders.values.removeIf { nowMillis - it.heardAtMillis > REMEMBERED_MILLIS }
         holders.values.forEach { it.dropOldPromise(nowMillis) }
     }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -369,7 +369,7 @@
         copy.usedAtMillis = nowMillis
         val loadMillis = if (order.copy.isAdapter) settings.adapterLoadMillis else spec.models.getValue(order.copy.modelId).loadMillis
         copy.readyAtMillis = nowMillis + loadMillis
-        nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.conflictMillis else 0
+        nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
 
     /**
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -7,24 +7,35 @@
 import kotlin.math.exp
 
 /**
- * How copies of models are planned.
+ * How copies of models are planned; values are in requests a second.
  *
  * @property maxLoads model loads at once; the weight store gives no more its full speed, and an engine that loads a
  * model takes no adapters meanwhile.
  * @property demandMillis how far back demand counts.
  * @property spareValue part of a model's demand that a copy beside others is worth.
  * @property placesValue the same while the model's adapters need the copy's places.
+ * @property adapterModelDemand demand that a model with adapters is taken to have at least: adapters are made for what
+ * is used.
+ * @property unknownDemand demand that any model is taken to have while the planner has not seen what is asked for.
+ * @property learningMillis how long that weighs.
  * @property gainFactor by how much more a missing model must be asked for than what makes room for it.
- * @property adapterBurden value, in requests a second, of one adapter that can't be changed while a model loads.
+ * @property missWeight how much each request that found no copy adds to the demand for it, as a part of the demand.
+ * @property residenceMillis how long a model stays at least that was loaded.
+ * @property spreadLoad part of the slots of a model's engines in use from which a further copy is loaded.
  * @property declinedMillis how long an engine is passed over that did not take a load.
  */
 public data class ModelPlannerSettings(
     val maxLoads: Int = 4,
-    val demandMillis: Long = 6_000,
-    val spareValue: Double = 0.05,
-    val placesValue: Double = 0.3,
-    val gainFactor: Double = 1.2,
-    val adapterBurden: Double = 0.05,
+    val demandMillis: Long = 8_000,
+    val spareValue: Double = 0.03,
+    val placesValue: Double = 0.06,
+    val adapterModelDemand: Double = 0.5,
+    val unknownDemand: Double = 0.4,
+    val learningMillis: Long = 3_000,
+    val gainFactor: Double = 1.6,
+    val missWeight: Double = 0.25,
+    val residenceMillis: Long = 8_000,
+    val spreadLoad: Double = 0.6,
     val declinedMillis: Long = 1_000,
 )
 
@@ -32,8 +43,9 @@
  * An engine as the planner sees it.
  *
  * @property held the models that it holds, each with the number of its adapters there.
+ * @property load part of its slots that is in use.
  */
-public data class PlannedEngine(val targetId: TargetId, val held: Map<ModelId, Int>)
+public data class PlannedEngine(val targetId: TargetId, val held: Map<ModelId, Int>, val load: Double = 0.0)
 
 /** Where a model is to be loaded, and which models make room for it there. */
 public data class LoadPlan(val targetId: TargetId, val modelId: ModelId, val victims: List<ModelId>)
@@ -52,9 +64,18 @@
     private val demands = HashMap<ModelId, DecayingCount>()
     private val loads = LinkedHashMap<ModelId, PlannedLoad>()
     private val declinedUntilMillis = HashMap<TargetId, Long>()
+    private val misses = HashMap<ModelId, Int>()
+    private val loadedAtMillis = HashMap<Pair<TargetId, ModelId>, Long>()
+    private var firstSeenMillis: Long? = null
+
+    /** Notes that a request for [modelId] found no copy. */
+    public fun noteMiss(modelId: ModelId) {
+        misses.merge(modelId, 1, Int::plus)
+    }
 
     /** Notes that [requests] for [modelId] have arrived, served or not. */
     public fun noteDemand(modelId: ModelId, requests: Int, nowMillis: Long) {
+        if (firstSeenMillis == null) firstSeenMillis = nowMillis
         demands.getOrPut(modelId) { DecayingCount(settings.demandMillis) }.add(requests.toDouble(), nowMillis)
     }
 
@@ -70,7 +91,7 @@
     ): LoadPlan? {
         dropStale(nowMillis)
         val model = spec.models[modelId] ?: return null
-        if (loads.size >= settings.maxLoads) return null
+        if (loads.size >= settings.maxLoads || modelId in loads) return null
         val copies = engines.flatMap { it.held.keys }.groupingBy { it }.eachCount()
         val loading = loads.values.mapTo(HashSet()) { it.plan.targetId }
         val best = engines
@@ -78,11 +99,25 @@
             .mapNotNull { engine -> optionOrNull(engine, model, spec, copies, nowMillis) }
             .minByOrNull { it.loss }
             ?: return null
-        val gain = demandOf(modelId, nowMillis)
+        val gain = gainOf(modelId, copies, nowMillis)
         val isWorthIt = best.plan.victims.isEmpty() || gain >= best.victimsValue * settings.gainFactor
         return best.plan.takeIf { isWorthIt }
     }
 
+    /** Returns a model whose engines are so busy that it needs a further copy, or `null`. */
+    public fun crowdedModelOrNull(engines: List<PlannedEngine>, nowMillis: Long): ModelId? =
+        engines.flatMap { it.held.keys }.distinct()
+            .filter { modelId -> engines.filter { modelId in it.held }.all { it.load >= settings.spreadLoad } }
+            .maxByOrNull { demandOf(it, nowMillis) }
+            ?.takeIf { demandOf(it, nowMillis) > 0 && it !in loads }
+
+    /** Returns what a copy of [modelId] would be worth; those whose requests were refused before gain with each. */
+    private fun gainOf(modelId: ModelId, copies: Map<ModelId, Int>, nowMillis: Long): Double {
+        val demand = demandOf(modelId, nowMillis)
+        val isHeld = (copies[modelId] ?: 0) > 0
+        return if (isHeld) demand / 2 else demand * (1 + settings.missWeight * (misses[modelId] ?: 0))
+    }
+
     private fun isDeclined(targetId: TargetId, nowMillis: Long): Boolean =
         nowMillis < (declinedUntilMillis[targetId] ?: Long.MIN_VALUE)
 
@@ -97,7 +132,9 @@
         var missing = used + model.weightsMegabytes - spec.weightsMegabytes
         val victims = ArrayList<ModelId>()
         var value = 0.0
-        val byValue = engine.held.keys.sortedBy { valueOf(it, copies, spec, nowMillis) / sizeOf(it, spec) }
+        val byValue = engine.held.keys
+            .filterNot { isNewAt(engine.targetId, it, nowMillis) }
+            .sortedBy { valueOf(it, copies, spec, nowMillis) / sizeOf(it, spec) }
         for (candidate in byValue) {
             if (missing <= 0) break
             victims += candidate
@@ -105,8 +142,30 @@
             missing -= megabytesOf(candidate, engine.held.getValue(candidate), spec)
         }
         if (missing > 0) return null
-        val adaptersBlocked = engine.held.values.sum() * settings.adapterBurden
-        return LoadOption(LoadPlan(engine.targetId, model.modelId, victims), value, value + adaptersBlocked)
+        val blocked = blockedValue(engine, victims, copies, spec, nowMillis)
+        return LoadOption(LoadPlan(engine.targetId, model.modelId, victims), value, value + blocked)
+    }
+
+    private fun isNewAt(targetId: TargetId, modelId: ModelId, nowMillis: Long): Boolean =
+        nowMillis - (loadedAtMillis[targetId to modelId] ?: Long.MIN_VALUE / 2) < settings.residenceMillis
+
+    /** Returns the demand for adapters that the engine can't change while it loads a model. */
+    private fun blockedValue(
+        engine: PlannedEngine,
+        victims: List<ModelId>,
+        copies: Map<ModelId, Int>,
+        spec: EngineSpec,
+        nowMillis: Long,
+    ): Double =
+        (engine.held.keys - victims.toSet())
+            .filter { (spec.models[it]?.adapterCount ?: 0) > 0 }
+            .sumOf { expectedDemandOf(it, spec, nowMillis) / (copies[it] ?: 1) }
+
+    /** Returns the demand for [modelId], and the least that its adapters let expect. */
+    private fun expectedDemandOf(modelId: ModelId, spec: EngineSpec, nowMillis: Long): Double {
+        val hasAdapters = (spec.models[modelId]?.adapterCount ?: 0) > 0
+        val demand = demandOf(modelId, nowMillis)
+        return if (hasAdapters) maxOf(demand, settings.adapterModelDemand) else demand
     }
 
     private fun sizeOf(modelId: ModelId, spec: EngineSpec): Double =
@@ -117,7 +176,7 @@
 
     /** Returns the requests a second that would be lost or slowed if one copy of [modelId] went. */
     private fun valueOf(modelId: ModelId, copies: Map<ModelId, Int>, spec: EngineSpec, nowMillis: Long): Double {
-        val demand = demandOf(modelId, nowMillis)
+        val demand = expectedDemandOf(modelId, spec, nowMillis)
         val count = copies[modelId] ?: 1
         if (count <= 1) return demand
         val adapters = spec.models[modelId]?.adapterCount ?: 0
@@ -125,8 +184,12 @@
         return demand * (if (needsPlaces) settings.placesValue else settings.spareValue) / count
     }
 
-    /** Returns how many requests a second ask for [modelId]. */
-    public fun demandOf(modelId: ModelId, nowMillis: Long): Double = demands[modelId]?.perSecond(nowMillis) ?: 0.0
+    /** Returns how many requests a second ask for [modelId], as far as can be told yet. */
+    public fun demandOf(modelId: ModelId, nowMillis: Long): Double {
+        val seenMillis = nowMillis - (firstSeenMillis ?: nowMillis)
+        val unknown = settings.unknownDemand * exp(-seenMillis / settings.learningMillis.toDouble())
+        return unknown + (demands[modelId]?.perSecond(nowMillis) ?: 0.0)
+    }
 
     /** Notes that the load of [plan] was ordered and is expected in [inMillis]. */
     public fun started(plan: LoadPlan, inMillis: Long, nowMillis: Long) {
@@ -136,7 +199,12 @@
     /** Notes that the load of [modelId] has ended; its engine is passed over for a while if it [wasDeclined]. */
     public fun ended(modelId: ModelId, wasDeclined: Boolean, nowMillis: Long) {
         val load = loads.remove(modelId) ?: return
-        if (wasDeclined) declinedUntilMillis[load.plan.targetId] = nowMillis + settings.declinedMillis
+        if (wasDeclined) {
+            declinedUntilMillis[load.plan.targetId] = nowMillis + settings.declinedMillis
+        } else {
+            misses -= modelId
+            loadedAtMillis[load.plan.targetId to modelId] = nowMillis
+        }
     }
 
     private fun dropStale(nowMillis: Long) {
--- /dev/null
+++ b/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
@@ -0,0 +1,154 @@
+package org.banyanturn.core.limits
+
+import org.banyanturn.core.Incarnation
+import org.banyanturn.core.VmId
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.math.ln
+import kotlin.random.Random
+
+private const val RATE = 9_000.0
+private const val BURST = 9_000.0
+private const val WINDOW_MILLIS = 8_000L
+
+/** What the users allow above the limit in each window: a tenth of it, and some tokens besides. */
+private const val TOLERANCE = 1.1
+private const val SLACK = 7_500.0
+
+private class Arrival(val vm: Int, val atMillis: Long, val cost: Double)
+
+private class Admitted(val atMillis: Long, val cost: Double)
+
+/** VMs that share one member's limit over messages that take [delayMillis] each way. */
+private class AllotmentFleet(private val vmCount: Int, private val delayMillis: Long = 5) {
+    private val settings = AllotmentSettings()
+    private val shares = List(vmCount) { AllotmentShare(RATE, BURST, settings, nowMillis = 0, initialFraction = 1.0) }
+    private var collector = AllotmentCollector(RATE, BURST, startMillis = 0)
+    private val waiting = List(vmCount) { ArrayDeque<Arrival>() }
+    private val messages = ArrayList<Pair<Long, () -> Unit>>()
+
+    val admitted = ArrayList<Admitted>()
+    var refusals = 0
+        private set
+
+    /** Whether messages to and from a VM are lost. */
+    var isCut: (vm: Int) -> Boolean = { false }
+
+    fun loseCollector(nowMillis: Long) {
+        collector = AllotmentCollector(RATE, BURST, nowMillis)
+    }
+
+    fun play(arrivals: List<Arrival>, untilMillis: Long, onTick: (Long) -> Unit = {}) {
+        val queue = ArrayDeque(arrivals.sortedBy { it.atMillis })
+        for (nowMillis in 0..untilMillis) {
+            onTick(nowMillis)
+            while (queue.isNotEmpty() && queue.first().atMillis <= nowMillis) arrive(queue.removeFirst(), nowMillis)
+            messages.filter { it.first <= nowMillis }.also { messages.removeAll(it) }.forEach { it.second() }
+            if (nowMillis % 10 == 0L) shares.indices.forEach { tick(it, nowMillis) }
+        }
+    }
+
+    private fun arrive(arrival: Arrival, nowMillis: Long) {
+        shares[arrival.vm].recordDemand(arrival.cost, nowMillis)
+        waiting[arrival.vm].addLast(arrival)
+        decide(arrival.vm, nowMillis)
+    }
+
+    private fun decide(vm: Int, nowMillis: Long) {
+        val queue = waiting[vm]
+        while (queue.isNotEmpty()) {
+            val first = queue.first()
+            when (shares[vm].tryAcquire(first.cost, vmCount, nowMillis, first.atMillis)) {
+                RateDecision.Admitted -> admitted += Admitted(nowMillis, first.cost)
+                is RateDecision.Undecided -> break
+                else -> refusals++
+            }
+            queue.removeFirst()
+        }
+        shares[vm].setWaiting(queue.sumOf { it.cost })
+    }
+
+    private fun tick(vm: Int, nowMillis: Long) {
+        decide(vm, nowMillis)
+        val report = shares[vm].dueReportOrNull(nowMillis) ?: return
+        if (isCut(vm)) return
+        messages += (nowMillis + delayMillis) to {
+            val grant = collector.onReport(Incarnation(VmId("vm-$vm"), 1), report, vmCount, nowMillis + delayMillis)
+            messages += (nowMillis + 2 * delayMillis) to {
+                shares[vm].onGrant(grant, nowMillis + 2 * delayMillis)
+                decide(vm, nowMillis + 2 * delayMillis)
+            }
+        }
+    }
+
+    fun mostInWindow(): Double =
+        admitted.maxOfOrNull { first ->
+            admitted.filter { it.atMillis in first.atMillis until first.atMillis + WINDOW_MILLIS }.sumOf { it.cost }
+        } ?: 0.0
+}
+
+class AllotmentTest {
+    private val allowed = (RATE * WINDOW_MILLIS / 1_000 + BURST) * TOLERANCE + SLACK
+
+    private fun arrivals(random: Random, perSecond: Double, untilMillis: Long, vmOf: (Random) -> Int): List<Arrival> {
+        val result = ArrayList<Arrival>()
+        var atMillis = 0.0
+        while (true) {
+            atMillis -= ln(1 - random.nextDouble()) / perSecond * 1_000
+            if (atMillis >= untilMillis) return result
+            result += Arrival(vmOf(random), atMillis.toLong(), cost = random.nextDouble(400.0, 1_600.0))
+        }
+    }
+
+    /** What one bucket that sees all requests would refuse. */
+    private fun refusalsOfOneBucket(arrivals: List<Arrival>): Int {
+        var tokens = BURST
+        var lastMillis = 0L
+        return arrivals.sortedBy { it.atMillis }.count { arrival ->
+            tokens = minOf(BURST, tokens + RATE * (arrival.atMillis - lastMillis) / 1_000)
+            lastMillis = arrival.atMillis
+            val fits = tokens >= arrival.cost
+            if (fits) tokens -= arrival.cost
+            !fits
+        }
+    }
+
+    @Test
+    fun `a member below its limit is refused no more often than by one bucket, however its requests are spread`() {
+        val random = Random(20_261_204)
+        repeat(10) { round ->
+            val arrivals = arrivals(random, perSecond = 5.0, 30_000) { if (it.nextDouble() < 0.5) 0 else it.nextInt(8) }
+            val fleet = AllotmentFleet(vmCount = 8)
+            fleet.play(arrivals, 31_000)
+            val needed = refusalsOfOneBucket(arrivals)
+            assertTrue(fleet.refusals <= needed + 1, "round $round: ${fleet.refusals} of ${arrivals.size}, one bucket $needed")
+        }
+    }
+
+    @Test
+    fun `a member that sends many times its rate gets no more than its limit in any window`() {
+        val random = Random(20_261_205)
+        repeat(5) { round ->
+            val arrivals = arrivals(random, perSecond = 70.0, 20_000) { it.nextInt(8) }
+            val fleet = AllotmentFleet(vmCount = 8)
+            fleet.play(arrivals, 21_000)
+            assertTrue(fleet.mostInWindow() <= allowed, "round $round: ${fleet.mostInWindow()} of $allowed")
+            val served = fleet.admitted.sumOf { it.cost }
+            assertTrue(served >= RATE * 20 * 0.9, "round $round: only $served were used of ${RATE * 20}")
+        }
+    }
+
+    @Test
+    fun `the limit holds while VMs are cut off and the collector starts anew`() {
+        val random = Random(20_261_206)
+        val arrivals = arrivals(random, perSecond = 40.0, 24_000) { it.nextInt(8) }
+        val fleet = AllotmentFleet(vmCount = 8)
+        var now = 0L
+        fleet.isCut = { vm -> vm < 3 && now in 6_000..12_000 }
+        fleet.play(arrivals, 25_000) { nowMillis ->
+            now = nowMillis
+            if (nowMillis == 9_000L || nowMillis == 15_000L) fleet.loseCollector(nowMillis)
+        }
+        assertTrue(fleet.mostInWindow() <= allowed, "${fleet.mostInWindow()} of $allowed")
+    }
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -226,7 +226,7 @@
         planner.tick()
         copyRequests.tick()
         limits.tick(clock.nowMillis())
-        waitingRoom.serve()
+        waitingRoom.expire()
         peers.sendReports()
         shutdown.tick()
     }
@@ -243,6 +243,7 @@
         connections.toList().forEach { it.closeIfOverdue(nowMillis) }
         channels.closeStale()
         allotments.forgetForeign()
+        planner.spread(peers::isPlanner)
     }
 
     private fun installSignalHandlers() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -54,6 +54,7 @@
     fun want(service: ServiceName, copy: CopyName, asker: Asker) {
         val holder = holderOrNull(service, copy)
         if (holder != null) return lines.answer(asker, CopyAnswer(asker.number, 0, holder, reason = ""))
+        plannerOf(service).noteMiss(copy.modelId)
         val known = running.values.firstOrNull { it.service == service && it.plan.modelId == copy.modelId }
         if (known != null) {
             known.askers += asker
@@ -91,7 +92,8 @@
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
         view.directory.byService[service].orEmpty().filter { it.takesRequests }.map { target ->
             val held = target.entry.heldModels.values.filter { view.holds(target, CopyName(it.modelId)) }
-            PlannedEngine(target.entry.targetId, held.associate { it.modelId to it.adapters.size })
+            val load = view.stateOf(target).load.requestsAt(clock.nowMillis()).toDouble() / target.entry.slots
+            PlannedEngine(target.entry.targetId, held.associate { it.modelId to it.adapters.size }, load)
         }
 
     private fun send(plan: RunningPlan) {
@@ -132,6 +134,15 @@
         askers.forEach { lines.answer(it, CopyAnswer(it.number, readyInMillis = null, targetId = null, reason)) }
     }
 
+    /** Has further copies loaded of models whose engines are busy, where this VM plans; called about once a second. */
+    fun spread(isPlanner: (ServiceName) -> Boolean) {
+        val services = view.catalog?.services.orEmpty().values
+        services.filter { it.engine != null && isPlanner(it.name) }.forEach { service ->
+            val crowded = plannerOf(service.name).crowdedModelOrNull(enginesOf(service.name), clock.nowMillis())
+            if (crowded != null) start(service.name, CopyName(crowded), LinkedHashSet(), triesLeft = 1)
+        }
+    }
+
     /** Repeats orders that got no answer; called every few milliseconds. */
     fun tick() {
         val nowMillis = clock.nowMillis()
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
@@ -0,0 +1,97 @@
+package org.banyanturn.entry.observe
+
+import org.banyanturn.core.delivery.AttemptEvidence
+import org.banyanturn.core.serving.TargetEntry
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.LogField
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.requests.OwnRefusal
+
+/**
+ * The decisions on one request, a line each.
+ *
+ * They are kept until the request ends: lines of requests that failed, were refused, waited or were sent more than once
+ * are all written, and of the others a sample.
+ */
+internal class RequestTrail(
+    private val requestId: String,
+    private val log: DecisionLog,
+    private val clock: ProcessClock,
+) {
+    private val startMillis = clock.nowMillis()
+    private val lines = ArrayList<TrailLine>(USUAL_LINES)
+    private var isCalm = true
+
+    fun refused(refusal: OwnRefusal): Unit =
+        addTroubled(
+            Event.REQUEST_REFUSED,
+            field("status", refusal.statusCode),
+            field("reason", refusal.reason),
+            field("outcome", refusal.outcome.wireName),
+            field("retryAfterMillis", refusal.retryAfterMillis),
+        )
+
+    fun waits(service: String, copy: String?, patienceMillis: Long): Unit =
+        addTroubled(
+            Event.REQUEST_WAITS,
+            field("service", service),
+            field("copy", copy),
+            field("patienceMillis", patienceMillis),
+        )
+
+    fun notPlaced(reason: String, service: String, copy: String?): Unit =
+        addTroubled(Event.REQUEST_NOT_PLACED, field("reason", reason), field("service", service), field("copy", copy))
+
+    fun sent(attemptId: String, target: TargetEntry, estimatedRequests: Int): Unit =
+        add(
+            Event.ATTEMPT_SENT,
+            field("attempt", attemptId),
+            field("target", target.targetId),
+            field("zone", target.zoneId),
+            field("estimatedRequests", estimatedRequests),
+        )
+
+    fun attemptFailed(attemptId: String, targetId: String, evidence: AttemptEvidence, reason: String): Unit =
+        addTroubled(
+            Event.ATTEMPT_FAILED,
+            field("attempt", attemptId),
+            field("target", targetId),
+            field("evidence", evidence.name.lowercase()),
+            field("reason", reason),
+        )
+
+    fun aborted(reason: String): Unit = addTroubled(Event.STREAM_ABORTED, field("reason", reason))
+
+    fun callerGone(): Unit = addTroubled(Event.CALLER_GONE)
+
+    /** Notes the target's answer with [status], which is calm if the request was sent once and was no failure. */
+    fun answered(status: Int, attempts: Int) {
+        if (attempts > 1 || status >= FIRST_SERVER_ERROR) isCalm = false
+        add(Event.REQUEST_ANSWERED, field("status", status), field("attempts", attempts))
+    }
+
+    private fun addTroubled(event: Event, vararg fields: LogField) {
+        isCalm = false
+        add(event, *fields)
+    }
+
+    private fun add(event: Event, vararg fields: LogField) {
+        lines += TrailLine(event, clock.nowMillis() - startMillis, fields)
+    }
+
+    /** Writes the lines of a request that has ended; called once. */
+    fun end() {
+        if (isCalm && !log.isSampled()) return
+        lines.forEach { line ->
+            log.write(line.event, field("request", requestId), field("ageMillis", line.ageMillis), *line.fields)
+        }
+    }
+
+    private companion object {
+        const val USUAL_LINES = 2
+        const val FIRST_SERVER_ERROR = 500
+    }
+}
+
+private class TrailLine(val event: Event, val ageMillis: Long, val fields: Array<out LogField>)
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -122,6 +122,9 @@
 
     private fun ownerOrNull(targetId: TargetId): Peer? = ownership.ownerOrNull(EngineOwnerDesk.keyOf(targetId))
 
+    /** Returns whether this VM plans for [service]. */
+    fun isPlanner(service: ServiceName): Boolean = plannerOrNull(service)?.let(ownership::isSelf) == true
+
     private fun plannerOrNull(service: ServiceName): Peer? = ownership.ownerOrNull("planner/${service.value}")
 
     /** Takes in a datagram of another VM. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -11,12 +11,21 @@
 import org.banyanturn.core.serving.EngineDirectory
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.core.stableHash
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.platform.hosted.SocketAddressText
 import org.banyanturn.platform.hosted.parseSocketAddressOrNull
 
 /** What this VM knows of one target from its own requests. */
-internal class TargetState(slots: Int, reportLifeMillis: Long, breakerSettings: CircuitBreakerSettings) {
+internal class TargetState(
+    targetId: TargetId,
+    slots: Int,
+    reportLifeMillis: Long,
+    breakerSettings: CircuitBreakerSettings,
+) {
+    /** Hash of the target's id, by which requests are spread. */
+    val hash = stableHash(targetId.value)
+
     var load = targetLoadOf(slots, reportLifeMillis)
     var breaker = circuitBreakerOf(breakerSettings)
 
@@ -118,7 +127,7 @@
         states.getOrPut(target.entry.targetId) {
             val isEngine = catalog?.services?.get(target.entry.service)?.engine != null
             val life = if (isEngine) settings.engineReportLifeMillis else settings.serviceReportLifeMillis
-            TargetState(target.entry.slots, life, settings.breaker)
+            TargetState(target.entry.targetId, target.entry.slots, life, settings.breaker)
         }
 
     /** Notes that a request for [modelId] of [service] has arrived. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -154,7 +154,7 @@
     }
 
     private fun fail(evidence: AttemptEvidence, reason: String, failing: TargetAnswer? = null) {
-        environment.log.attemptFailed(attemptId.value, target.entry.targetId.value, evidence, reason, elapsedMillis())
+        receiver.trail.attemptFailed(attemptId.value, target.entry.targetId.value, evidence, reason)
         releaseBody()
         receiver.onFailed(this, evidence, failing)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -66,7 +66,9 @@
     }
 
     private fun refuse(exchange: CallerExchange, call: CallerHeaders, refusal: OwnRefusal) {
-        environment.log.refused(call.attemptId, refusal, now() - exchange.arrivedAtMillis)
+        val trail = environment.log.trail(call.attemptId.orEmpty())
+        trail.refused(refusal)
+        trail.end()
         environment.metrics.refused(refusal.reason)
         exchange.answerRefusal(refusal, call.attemptId)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -22,6 +22,7 @@
 import org.banyanturn.core.serving.RouteKind
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.entry.http.CallerListener
+import org.banyanturn.entry.observe.RequestTrail
 import org.banyanturn.platform.hosted.TargetHeaders
 import org.banyanturn.platform.hosted.targetRequestHeaders
 import java.util.concurrent.TimeUnit
@@ -52,8 +53,10 @@
     private var answer: TargetAnswer? = null
     private var lastTarget: KnownTarget? = null
     private val relay = EventRelay(exchange)
+    override val trail: RequestTrail = environment.log.trail(id)
     private val timers = ArrayList<ScheduledFuture<*>>()
     private var isWaiting = false
+    private var isReleased = false
 
     /** The caller's id of this attempt, or one made here. */
     val id: String
@@ -149,12 +152,12 @@
 
     private fun join(startByMillis: Long) {
         isWaiting = true
-        environment.log.waits(id, service.value, copy?.toString(), startByMillis - now())
+        trail.waits(service.value, copy?.toString(), startByMillis - now())
         environment.waitingRoom.join(id, memberId ?: RequestEnvironment.PUBLIC_MEMBER, this, startByMillis)
     }
 
     private fun refuseForNow(reason: String, retryAfterMillis: Long) {
-        environment.log.notPlaced(id, reason, service.value, copy?.toString())
+        trail.notPlaced(reason, service.value, copy?.toString())
         val wantedMillis = retryAfterMillis + spread(retryAfterMillis, environment.random)
         val heededMillis = ((deadlineMillis - now()) * HEEDED_FRACTION).toLong()
         handle(RequestEvent.NoTarget(minOf(wantedMillis, heededMillis).coerceAtLeast(1)))
@@ -178,7 +181,7 @@
         state.load = state.load.sent(attemptId.value, now())
         state.breaker = state.breaker.requestSent(now())
         state.begin(copy)
-        environment.log.sent(id, attemptId.value, target.entry, state.load.requestsAt(now()), now() - exchange.arrivedAtMillis)
+        trail.sent(attemptId.value, target.entry, state.load.requestsAt(now()))
         val open = OpenAttempt(attemptId, target, copy, environment, this, now(), admission.call.attemptId)
         current = open
         val maxIdleMillis = if (route.mayRepeat) RequestLimits.KEPT_IDLE_MILLIS else RequestLimits.ONCE_IDLE_MILLIS
@@ -252,12 +255,12 @@
     private fun deliverAnswer() {
         val whole = answer ?: return
         answer = null
-        environment.log.answered(id, whole.statusCode, now() - exchange.arrivedAtMillis, life.attempts)
+        trail.answered(whole.statusCode, life.attempts)
         exchange.answer(whole.statusCode, whole.callerHeaders(), whole.body)
     }
 
     private fun finishStream() {
-        environment.log.answered(id, STATUS_OK, now() - exchange.arrivedAtMillis, life.attempts)
+        trail.answered(STATUS_OK, life.attempts)
         exchange.finish()
     }
 
@@ -266,7 +269,7 @@
         val targetsOwn = answer
         when {
             isAbort -> {
-                environment.log.aborted(id, refusal.reason.logName(), now() - exchange.arrivedAtMillis)
+                trail.aborted(refusal.reason.logName())
                 exchange.abort()
             }
 
@@ -277,7 +280,7 @@
     }
 
     private fun answerRefusal(refusal: OwnRefusal) {
-        environment.log.refused(id, refusal, now() - exchange.arrivedAtMillis)
+        trail.refused(refusal)
         environment.metrics.refused(refusal.reason)
         if (refusal.outcome == RequestOutcome.NOT_RUN) admission.member?.let { environment.limits.refund(it, admission.cost) }
         exchange.answerRefusal(refusal, admission.call.attemptId)
@@ -287,7 +290,7 @@
     private fun stopsWithCaller(): Boolean = isStream || route.mayRepeat
 
     override fun onCallerGone() {
-        environment.log.callerGone(id, now() - exchange.arrivedAtMillis)
+        trail.callerGone()
         if (stopsWithCaller()) current?.cancel()
         handle(RequestEvent.CallerGone)
     }
@@ -297,8 +300,11 @@
     }
 
     private fun release() {
+        if (isReleased) return
+        isReleased = true
         timers.forEach { it.cancel(false) }
         timers.clear()
+        trail.end()
         if (isWaiting) environment.waitingRoom.leave(id)
         isWaiting = false
         answer?.release()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -9,6 +9,7 @@
 import org.banyanturn.core.routing.copyChooserOf
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.core.mixedHash
 import org.banyanturn.core.stableHash
 import org.banyanturn.daemon.ProcessClock
 import kotlin.random.Random
@@ -93,5 +94,5 @@
 
     /** Returns the target at which every VM sends requests with this key first, by rendezvous hashing. */
     private fun favouriteOf(targets: List<KnownTarget>, key: String): KnownTarget? =
-        targets.maxByOrNull { stableHash("$key/${it.entry.targetId}") }
+        stableHash(key).let { hash -> targets.maxByOrNull { mixedHash(hash, view.stateOf(it).hash) } }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -28,6 +28,7 @@
     private val lanes = LinkedHashMap<LaneKey, FairQueue>()
     private val requests = HashMap<String, WaitingRequest>()
     private var isServing = false
+    private var servedAtMillis = 0L
 
     /** Called when requests wait for an adapter that no engine holds, though engines hold its model. */
     var onCopyMissing: (TargetNeed) -> Unit = {}
@@ -66,12 +67,25 @@
         }
     }
 
+    /** Ends the waits that are over, and looks at the others now and then; called every few milliseconds. */
+    fun expire() {
+        if (requests.isEmpty()) return
+        val nowMillis = clock.nowMillis()
+        if (nowMillis - servedAtMillis >= SERVE_INTERVAL_MILLIS) return serve()
+        lanes.values.toList().forEach { lane -> expire(lane, nowMillis) }
+    }
+
+    private fun expire(lane: FairQueue, nowMillis: Long) {
+        lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
+    }
+
     /** Gives targets to the requests whose turn it is, and ends the waits that are over. */
     fun serve() {
-        if (isServing) return
+        if (isServing || requests.isEmpty()) return
         isServing = true
         try {
             val nowMillis = clock.nowMillis()
+            servedAtMillis = nowMillis
             lanes.values.toList().forEach { lane -> serveLane(lane, nowMillis) }
             lanes.values.removeIf { it.size == 0 }
         } finally {
@@ -80,7 +94,7 @@
     }
 
     private fun serveLane(lane: FairQueue, nowMillis: Long) {
-        lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
+        expire(lane, nowMillis)
         val sample = lane.toList().firstOrNull() ?: return
         val need = requests[sample.requestId]?.need ?: return
         val placed = placement.place(need)
@@ -92,8 +106,13 @@
                 else -> request.onWaitOver()
             }
         }
-        lane.expire(nowMillis).forEach { requests.remove(it.requestId)?.onWaitOver() }
+        expire(lane, nowMillis)
     }
 
     private fun laneOf(need: TargetNeed): LaneKey = LaneKey(need.service, need.copy)
+
+    private companion object {
+        /** Rooms that open by time alone, such as a trusted target, are noticed within this time. */
+        const val SERVE_INTERVAL_MILLIS = 100L
+    }
 }
