Plan models by the copies that they need, and from engines' own disks first

Cause: rare models were refused while spare copies of busy ones stood idle; the first want took each free load, and just loaded models were dropped again.

Change: a model's copies are worth what its load and its adapters take up; the best gain by size is loaded first; models that an engine has held before come from its own disk; demand by a long average and a recent count.

--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -243,7 +243,7 @@
         connections.toList().forEach { it.closeIfOverdue(nowMillis) }
         channels.closeStale()
         allotments.forgetForeign()
-        planner.spread(peers::isPlanner)
+        planner.startDue(peers::isPlanner)
     }
 
     private fun installSignalHandlers() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -35,7 +35,7 @@
  */
 internal data class OwnerSettings(
     val takeoverMillis: Long,
-    val reportIntervalMillis: Long = 400,
+    val reportIntervalMillis: Long = 300,
     val noticeMillis: Long = 20,
 )
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -13,8 +13,11 @@
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.requests.FleetView
 
-/** Engines that are tried for one load, one after the other. */
-private const val MAX_TRIES = 3
+/** Loads that are started at one time at most. */
+private const val MAX_STARTS = 8
+
+/** Time beyond the pure load from disk until the copy is known to be there. */
+private const val DISK_MARGIN_MILLIS = 400L
 
 /** Time after which an owner that does not answer is asked again, and after which it is passed over. */
 private const val REPEAT_MILLIS = 40L
@@ -45,55 +48,60 @@
     /** How owners and askers are reached. */
     lateinit var lines: PlannerLines
 
-    /** Notes that requests for a model have arrived somewhere. */
-    fun noteDemand(service: ServiceName, modelId: ModelId, requests: Int) {
-        plannerOf(service).noteDemand(modelId, requests, clock.nowMillis())
+    /** Notes that requests for a model or one of its adapters have arrived somewhere. */
+    fun noteDemand(service: ServiceName, copy: CopyName, requests: Int) {
+        plannerOf(service).noteDemand(copy.modelId, copy.adapterId, requests, clock.nowMillis())
     }
 
     /** Takes a wish for the model [copy]; the answer goes to [asker]. */
     fun want(service: ServiceName, copy: CopyName, asker: Asker) {
         val holder = holderOrNull(service, copy)
         if (holder != null) return lines.answer(asker, CopyAnswer(asker.number, 0, holder, reason = ""))
-        plannerOf(service).noteMiss(copy.modelId)
+        plannerOf(service).noteMiss(copy.modelId, clock.nowMillis())
+        startNext(service)
         val known = running.values.firstOrNull { it.service == service && it.plan.modelId == copy.modelId }
-        if (known != null) {
-            known.askers += asker
-            return lines.answer(asker, known.answerTo(asker, clock.nowMillis()))
-        }
-        start(service, copy, linkedSetOf(asker), triesLeft = MAX_TRIES)
+            ?: return lines.answer(asker, CopyAnswer(asker.number, readyInMillis = null, targetId = null, "no_plan"))
+        known.askers += asker
+        lines.answer(asker, known.answerTo(asker, clock.nowMillis()))
     }
 
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
         view.directory.byService[service].orEmpty()
             .firstOrNull { it.takesRequests && view.holds(it, copy) }?.entry?.targetId
 
-    private fun start(service: ServiceName, copy: CopyName, askers: MutableSet<Asker>, triesLeft: Int) {
+    /** Starts the loads that gain most, as many as may run; called about once a second and after each change. */
+    fun startNext(service: ServiceName) {
+        val spec = view.catalog?.services?.get(service)?.engine ?: return
+        val planner = plannerOf(service)
+        repeat(MAX_STARTS) {
+            val plan = planner.nextPlanOrNull(enginesOf(service), spec, clock.nowMillis()) ?: return
+            val model = spec.models.getValue(plan.modelId)
+            start(service, plan, if (plan.isFromDisk) model.diskLoadMillis + DISK_MARGIN_MILLIS else model.loadMillis)
+        }
+    }
+
+    private fun start(service: ServiceName, plan: LoadPlan, loadMillis: Long) {
         val nowMillis = clock.nowMillis()
-        val spec = view.catalog?.services?.get(service)?.engine
-        val plan = spec?.let { plannerOf(service).planOrNull(copy.modelId, enginesOf(service), it, nowMillis) }
-        val loadMillis = spec?.models?.get(copy.modelId)?.loadMillis
-        if (plan == null || loadMillis == null || triesLeft == 0) return declineAll(askers, "no_plan")
-        val started = RunningPlan(numbers.next(), service, plan, askers, triesLeft, nowMillis)
+        val planner = plannerOf(service)
+        val started = RunningPlan(numbers.next(), service, plan, nowMillis)
         started.expectedMillis = nowMillis + loadMillis
         running[started.number] = started
-        plannerOf(service).started(plan, loadMillis, nowMillis)
+        planner.started(plan, loadMillis, nowMillis)
         log.write(
             Event.LOAD_PLANNED,
             field("model", plan.modelId),
             field("target", plan.targetId),
             field("victims", plan.victims),
-            field("demandPerSecond", plannerOf(service).demandOf(plan.modelId, nowMillis)),
-            field("askers", askers.size),
+            field("isFromDisk", plan.isFromDisk),
+            field("demandPerSecond", planner.demandPerSecond(plan.modelId, nowMillis)),
         )
         send(started)
-        if (started.number in running) askers.forEach { lines.answer(it, started.answerTo(it, nowMillis)) }
     }
 
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
         view.directory.byService[service].orEmpty().filter { it.takesRequests }.map { target ->
-            val held = target.entry.heldModels.values.filter { view.holds(target, CopyName(it.modelId)) }
-            val load = view.stateOf(target).load.requestsAt(clock.nowMillis()).toDouble() / target.entry.slots
-            PlannedEngine(target.entry.targetId, held.associate { it.modelId to it.adapters.size }, load)
+            val held = view.heldModels(target)
+            PlannedEngine(target.entry.targetId, held, view.stateOf(target).everHeld - held.keys)
         }
 
     private fun send(plan: RunningPlan) {
@@ -117,6 +125,7 @@
     fun onReady(targetId: TargetId, copy: CopyName) {
         val plan = running.values.firstOrNull { it.plan.targetId == targetId && it.plan.modelId == copy.modelId } ?: return
         running -= plan.number
+        view.directory.targets[targetId]?.let { view.noteCopy(it, copy, isPresent = true) }
         plannerOf(plan.service).ended(copy.modelId, wasDeclined = false, clock.nowMillis())
         plan.askers.forEach { lines.answer(it, CopyAnswer(it.number, 0, targetId, reason = "")) }
     }
@@ -127,20 +136,16 @@
         )
         running -= plan.number
         plannerOf(plan.service).ended(plan.plan.modelId, wasDeclined = true, clock.nowMillis())
-        start(plan.service, CopyName(plan.plan.modelId), plan.askers, plan.triesLeft - 1)
-    }
-
-    private fun declineAll(askers: Set<Asker>, reason: String) {
-        askers.forEach { lines.answer(it, CopyAnswer(it.number, readyInMillis = null, targetId = null, reason)) }
+        plan.askers.forEach {
+            lines.answer(it, CopyAnswer(it.number, readyInMillis = null, targetId = null, reason))
+        }
     }
 
-    /** Has further copies loaded of models whose engines are busy, where this VM plans; called about once a second. */
-    fun spread(isPlanner: (ServiceName) -> Boolean) {
-        val services = view.catalog?.services.orEmpty().values
-        services.filter { it.engine != null && isPlanner(it.name) }.forEach { service ->
-            val crowded = plannerOf(service.name).crowdedModelOrNull(enginesOf(service.name), clock.nowMillis())
-            if (crowded != null) start(service.name, CopyName(crowded), LinkedHashSet(), triesLeft = 1)
-        }
+    /** Starts what is due for the services that this VM plans for; called about once a second. */
+    fun startDue(isPlanner: (ServiceName) -> Boolean) {
+        view.catalog?.services.orEmpty().values
+            .filter { it.engine != null && isPlanner(it.name) }
+            .forEach { startNext(it.name) }
     }
 
     /** Repeats orders that got no answer; called every few milliseconds. */
@@ -164,10 +169,9 @@
     val number: Long,
     val service: ServiceName,
     val plan: LoadPlan,
-    val askers: MutableSet<Asker>,
-    val triesLeft: Int,
     val startedAtMillis: Long,
 ) {
+    val askers = LinkedHashSet<Asker>()
     var sentAtMillis = startedAtMillis
     var expectedMillis = startedAtMillis
     var isAnswered = false
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -85,6 +85,7 @@
     @ProtoNumber(1) val service: String,
     @ProtoNumber(2) val modelId: String,
     @ProtoNumber(3) val requests: Int,
+    @ProtoNumber(4) val adapterId: String = "",
 )
 
 private val protoBuf = ProtoBuf { encodeDefaults = false }
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -58,12 +58,12 @@
         }
         val demandsByPlanner = LinkedHashMap<Peer, MutableList<DemandMessage>>()
         view.takeDemands().forEach { (asked, requests) ->
-            val (service, modelId) = asked
+            val (service, copy) = asked
             val peer = plannerOrNull(service) ?: return@forEach
             if (ownership.isSelf(peer)) {
-                planner.noteDemand(service, modelId, requests)
+                planner.noteDemand(service, copy, requests)
             } else {
-                demandsByPlanner.getOrPut(peer) { ArrayList() } += DemandMessage(service.value, modelId.value, requests)
+                demandsByPlanner.getOrPut(peer) { ArrayList() } += copy.demanded(service, requests)
             }
         }
         (usesByOwner.keys + demandsByPlanner.keys).forEach { peer ->
@@ -138,8 +138,9 @@
         }
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.noteUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::takeLeaving)
-        datagram.demands.filter { isIdentifier(it.modelId) }.forEach {
-            planner.noteDemand(ServiceName(it.service), ModelId(it.modelId), it.requests)
+        datagram.demands.forEach { demand ->
+            val copy = copyNameOrNull(demand.modelId, demand.adapterId) ?: return@forEach
+            planner.noteDemand(ServiceName(demand.service), copy, demand.requests)
         }
         val grants = allotments.answer(from, datagram.reports)
         val replies = datagram.wants.mapNotNull { takeWant(it, senderHost) }
@@ -224,6 +225,9 @@
 private fun CopyName.at(targetId: TargetId): CopyAtMessage =
     CopyAtMessage(targetId.value, modelId.value, adapterId?.value.orEmpty())
 
+private fun CopyName.demanded(service: ServiceName, requests: Int): DemandMessage =
+    DemandMessage(service.value, modelId.value, requests, adapterId?.value.orEmpty())
+
 private fun CopyReplyMessage.toAnswer(): CopyAnswer =
     CopyAnswer(number, readyInMillis.takeIf { it >= 0 }, targetId.takeIf(::isIdentifier)?.let(::TargetId), reason)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -29,6 +29,9 @@
     var load = targetLoadOf(slots, reportLifeMillis)
     var breaker = circuitBreakerOf(breakerSettings)
 
+    /** Models that the target has held as long as this VM knows it; it keeps their weights on its own disk. */
+    val everHeld = HashSet<ModelId>()
+
     /** Copies whose presence is known otherwise than from the target's entry, and until when that holds. */
     val copyNews = HashMap<CopyName, CopyNews>()
 
@@ -86,7 +89,7 @@
     private val settings: FleetViewSettings = FleetViewSettings(),
 ) {
     private val states = HashMap<TargetId, TargetState>()
-    private val demands = HashMap<Pair<ServiceName, ModelId>, Int>()
+    private val demands = HashMap<Pair<ServiceName, CopyName>, Int>()
     private val watchers = ArrayList<() -> Unit>()
 
     /** What operators have declared, or `null` while it is not known. */
@@ -118,6 +121,7 @@
     fun adopt(changed: EngineDirectory) {
         directory = changed
         hasDirectory = true
+        changed.targets.values.forEach { stateOf(it).everHeld += it.entry.heldModels.keys }
         states.keys.retainAll(changed.targets.keys + states.filterValues { it.openAttempts > 0 }.keys)
         notifyWatchers()
     }
@@ -130,13 +134,13 @@
             TargetState(target.entry.targetId, target.entry.slots, life, settings.breaker)
         }
 
-    /** Notes that a request for [modelId] of [service] has arrived. */
-    fun noteDemand(service: ServiceName, modelId: ModelId) {
-        demands.merge(service to modelId, 1, Int::plus)
+    /** Notes that a request for [copy] at [service] has arrived. */
+    fun noteDemand(service: ServiceName, copy: CopyName) {
+        demands.merge(service to copy, 1, Int::plus)
     }
 
-    /** Returns how many requests for each model have arrived since the last call. */
-    fun takeDemands(): Map<Pair<ServiceName, ModelId>, Int> = demands.toMap().also { demands.clear() }
+    /** Returns how many requests for each copy have arrived since the last call. */
+    fun takeDemands(): Map<Pair<ServiceName, CopyName>, Int> = demands.toMap().also { demands.clear() }
 
     /** Returns the copies that this VM has used since the last call, or still uses, by target. */
     fun takeUses(): Map<TargetId, Set<CopyName>> =
@@ -152,6 +156,13 @@
         return copy.adapterId == null || copy.adapterId in held.adapters
     }
 
+    /** Returns the models that [target] is taken to hold, each with the number of its adapters there. */
+    fun heldModels(target: KnownTarget): Map<ModelId, Int> {
+        val named = target.entry.heldModels.keys + stateOf(target).copyNews.keys.map { it.modelId }
+        return named.filter { holds(target, CopyName(it)) }
+            .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
+    }
+
     /** Notes that [copy] is or is not at [target], which goes before the target's entry for a while. */
     fun noteCopy(target: KnownTarget, copy: CopyName, isPresent: Boolean) {
         val lifeMillis = if (isPresent) settings.copyNewsMillis else settings.absenceNewsMillis
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -79,7 +79,7 @@
     /** Begins to serve the request. */
     fun start() {
         exchange.listener = this
-        copy?.let { environment.view.noteDemand(service, it.modelId) }
+        copy?.let { environment.view.noteDemand(service, it) }
         handle(RequestEvent.Started)
     }
 
