--- a/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -21,6 +21,17 @@
     val silenceMillis: Long = 1_500,
 )
 
+/**
+ * The VMs that share the limits, as one of them knows them.
+ *
+ * @property count all VMs that may admit requests, also those that nothing was heard of lately.
+ * @property isolated those of them that nothing was heard of, which may run on cut off from the others.
+ */
+public data class SharingVms(val count: Int, val isolated: Int = 0)
+
+/** Part of an equal share that a VM takes which hears nothing, and that the others leave to it. */
+internal const val ISOLATED_FRACTION: Double = 0.6
+
 /**
  * What a VM tells the collector of one member's use.
  *
@@ -63,10 +74,10 @@
 /**
  * One VM's part of one member's limit.
  *
- * Load pattern: a member's requests are spread unevenly over the VMs, and one member sends many times its rate. Each VM
- * admits at its part of the rate, which follows its part of the demand, without asking for single requests; a request
- * that finds no room waits briefly while the VM asks for it, and is refused if the member is truly at its limit. A VM that
- * doesn't hear from the collector admits an equal part, so that all VMs together keep to the limit.
+ * Load pattern: a member's requests are spread unevenly over the VMs, and one member sends many times its rate. A VM
+ * admits at its part of the rate, which follows its part of the demand, without asking for single requests. A request
+ * that finds no room waits briefly while the VM asks for it, and is refused if the member is truly at its limit. A VM
+ * that doesn't hear from the collector admits less than an equal part, which the others leave to it.
  *
  * @param initialFraction part of the burst that is taken to be unused when this VM starts: all of it when the whole
  * deployment starts, less when what was used before is not known.
@@ -139,8 +150,8 @@
     private fun partOfLimit(vmCount: Int, nowMillis: Long): Double {
         val heardAtMillis = grantAtMillis
         val isHeard = heardAtMillis != null && nowMillis - heardAtMillis < settings.silenceMillis
-        val equalPart = 1.0 / max(1, vmCount)
-        return if (isHeard) share ?: equalPart else min(equalPart, share ?: equalPart)
+        val isolatedPart = ISOLATED_FRACTION / max(1, vmCount)
+        return if (isHeard) share ?: isolatedPart else min(isolatedPart, share ?: isolatedPart)
     }
 
     private fun refill(vmCount: Int, nowMillis: Long) {
--- a/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -15,6 +15,9 @@
 /** How long a VM's last report tells of its demand. */
 private const val REPORT_LIFE_MILLIS = 3_000L
 
+/** VMs report at least this often while they have requests. */
+private const val MAX_UNREPORTED_MILLIS = 1_000L
+
 /** How long cost units stay promised to a VM that has not reported their use. */
 private const val PROMISE_LIFE_MILLIS = 400L
 
@@ -44,8 +47,13 @@
         level = level?.let { min(it, newBurst) }
     }
 
-    /** Returns the answer to [report] of the VM [from]; [vmCount] VMs are known. */
-    public fun onReport(from: Incarnation, report: AllotmentReport, vmCount: Int, nowMillis: Long): AllotmentGrant {
+    /** Returns the answer to [report] of the VM [from], where [vms] share the limit. */
+    public fun onReport(
+        from: Incarnation,
+        report: AllotmentReport,
+        vms: SharingVms,
+        nowMillis: Long,
+    ): AllotmentGrant {
         refill(nowMillis)
         val isLearning = nowMillis - startMillis < LEARNING_MILLIS
         val known = holders[from]
@@ -54,30 +62,34 @@
         val believed = if (isLearning && known == null) min(before, max(0.0, report.knownLevel)) else before
         val current = believed - holder.advanceTo(report, nowMillis)
         level = current
-        val share = shareOf(holder, vmCount, nowMillis)
-        val promisedToOthers = holders.values.sumOf { if (it === holder) 0.0 else it.promisedCost }
-        val free = current - promisedToOthers
-        val part = min(free, burst) * share
+        val share = shareOf(holder, vms, nowMillis)
+        val others = holders.values.filter { it !== holder }
+        val heldByOthers = others.sumOf { it.promisedCost + it.unreportedCost(nowMillis) }
+        val free = min(burst, current - heldByOthers)
+        val part = free * share
         val tokens = if (report.neededCost > part) max(part, min(report.neededCost, free)) else part
         holder.promise(if (tokens > part) tokens else 0.0, nowMillis)
-        return AllotmentGrant(report.number, current, share, tokens, holder.usedCost)
+        return AllotmentGrant(report.number, min(burst, current), share, tokens, holder.usedCost)
     }
 
     private fun refill(nowMillis: Long) {
         if (nowMillis <= refilledAtMillis) return
         val filled = ratePerSecond * (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND
-        level = level?.let { min(burst, it + filled) }
+        val unreported = holders.values.sumOf { it.unreportedCost(nowMillis) }
+        level = level?.let { min(burst + unreported, it + filled) }
         refilledAtMillis = nowMillis
         holders.values.removeIf { nowMillis - it.heardAtMillis > REMEMBERED_MILLIS }
         holders.values.forEach { it.dropOldPromise(nowMillis) }
     }
 
-    private fun shareOf(holder: HolderUse, vmCount: Int, nowMillis: Long): Double {
-        val least = LEAST_DEMAND_FRACTION * ratePerSecond / max(1, vmCount)
+    private fun shareOf(holder: HolderUse, vms: SharingVms, nowMillis: Long): Double {
+        val count = max(1, vms.count)
+        val left = max(0.0, 1.0 - vms.isolated * ISOLATED_FRACTION / count)
+        val least = LEAST_DEMAND_FRACTION * ratePerSecond / count
         val heard = holders.values.filter { nowMillis - it.heardAtMillis <= REPORT_LIFE_MILLIS }
-        val silent = max(0, vmCount - heard.size)
+        val silent = max(0, vms.count - heard.size)
         val total = heard.sumOf { max(least, it.demandPerSecond) } + silent * least
-        return if (total <= 0) 1.0 / max(1, vmCount) else max(least, holder.demandPerSecond) / total
+        return if (total <= 0) left / count else left * max(least, holder.demandPerSecond) / total
     }
 }
 
@@ -87,12 +99,17 @@
         private set
     var heardAtMillis = Long.MIN_VALUE
         private set
+
     /** Cost units beyond its part that the VM was granted for requests that wait there, and has not used yet. */
     var promisedCost = 0.0
         private set
     private var promisedAtMillis = 0L
     private var lastNumber = 0L
 
+    /** Returns what the VM has probably used since its last report; what was used before a refill makes room for it. */
+    fun unreportedCost(nowMillis: Long): Double =
+        demandPerSecond * (nowMillis - heardAtMillis).coerceIn(0, MAX_UNREPORTED_MILLIS) / MILLIS_PER_SECOND
+
     fun promise(cost: Double, nowMillis: Long) {
         promisedCost = cost
         promisedAtMillis = nowMillis
--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -103,7 +103,10 @@
  * never what is in use. Whatever may be on the engine takes room: copies of which a load order was sent and not
  * answered count as loaded until the engine itself says otherwise.
  */
-public class CopySteward(private val spec: EngineSpec, private val settings: CopyStewardSettings = CopyStewardSettings()) {
+public class CopySteward(
+    private val spec: EngineSpec,
+    private val settings: CopyStewardSettings = CopyStewardSettings(),
+) {
     private val copies = LinkedHashMap<CopyName, StewardedCopy>()
     private val wishes = LinkedHashMap<CopyName, CopyWish>()
     private var lifeEpochMillis: Long? = null
@@ -126,8 +129,8 @@
     /**
      * Takes in the engine's report.
      *
-     * A new owner, or the owner of an engine that started again, waits until no order is in progress: a load that another
-     * owner ordered takes room that no list shows yet.
+     * A new owner, or the owner of an engine that started again, waits until no order is in progress: a load that
+     * another owner ordered takes room that no list shows yet.
      *
      * @param bornEpochMillis when this life of the engine began, or `null` if it does not say.
      * @param ordersAccepted how many orders it has accepted in this life.
@@ -147,9 +150,16 @@
         val held = namesOf(heldModels)
         if (ordersAccepted > expectedOrders) adoptCount(ordersAccepted)
         if (isCarryingOutOrder) return
-        if (outstanding == null) copies.entries.removeIf { (name, copy) -> copy.phase == CopyPhase.UNCERTAIN && name !in held }
+        if (outstanding ==
+            null
+        ) {
+            copies.entries.removeIf { (name, copy) -> copy.phase == CopyPhase.UNCERTAIN && name !in held }
+        }
         adoptHeld(held, nowMillis)
-        copies.entries.removeIf { (name, copy) -> name !in held && copy.phase == CopyPhase.LOADING && hasOutlastedReports(nowMillis) }
+        copies.entries.removeIf { (name, copy) ->
+            name !in held && copy.phase == CopyPhase.LOADING &&
+                hasOutlastedReports(nowMillis)
+        }
     }
 
     /** Takes in the copies that the engine's entry lists; it may be older than the latest orders and counts none. */
@@ -170,7 +180,8 @@
             if (copy.phase == CopyPhase.LOADING || copy.phase == CopyPhase.UNCERTAIN) copy.phase = CopyPhase.HELD
         }
         copies.entries.removeIf { (name, copy) ->
-            name !in held && (copy.phase == CopyPhase.HELD || copy.phase == CopyPhase.UNLOADING) && hasOutlastedReports(nowMillis)
+            name !in held && (copy.phase == CopyPhase.HELD || copy.phase == CopyPhase.UNLOADING) &&
+                hasOutlastedReports(nowMillis)
         }
     }
 
@@ -218,7 +229,11 @@
     public fun want(copy: CopyName, nowMillis: Long, victims: List<ModelId> = emptyList()): CopyPromise {
         val known = copies[copy]
         if (known?.phase == CopyPhase.HELD) return CopyPromise.Ready
-        if (known?.phase == CopyPhase.LOADING) return CopyPromise.Coming((known.readyAtMillis - nowMillis).coerceAtLeast(1))
+        if (known?.phase ==
+            CopyPhase.LOADING
+        ) {
+            return CopyPromise.Coming((known.readyAtMillis - nowMillis).coerceAtLeast(1))
+        }
         val wish = CopyWish(nowMillis, victims.map { CopyName(it) })
         val declined = declineOrNull(copy, wish, nowMillis)
         if (declined != null) {
@@ -266,7 +281,11 @@
     /** Adapters load so fast that their end is known by time rather than by a report. */
     private fun finishAdapters(nowMillis: Long) {
         copies.forEach { (name, copy) ->
-            if (name.isAdapter && copy.phase == CopyPhase.LOADING && nowMillis >= copy.readyAtMillis) copy.phase = CopyPhase.HELD
+            if (name.isAdapter && copy.phase == CopyPhase.LOADING &&
+                nowMillis >= copy.readyAtMillis
+            ) {
+                copy.phase = CopyPhase.HELD
+            }
         }
     }
 
@@ -311,7 +330,10 @@
     private fun candidatesFor(copy: CopyName, wish: CopyWish, nowMillis: Long): List<CopyName> {
         val named = wish.victims.filter { copies[it]?.phase in DROPPABLE && it != copy.model }
         val idle = copies.entries
-            .filter { (name, held) -> name.isAdapter == copy.isAdapter && name !in named && mayDrop(name, held, copy, nowMillis) }
+            .filter { (name, held) ->
+                name.isAdapter == copy.isAdapter && name !in named &&
+                    mayDrop(name, held, copy, nowMillis)
+            }
             .sortedBy { (_, held) -> held.usedAtMillis }
             .map { it.key }
         return named + idle
@@ -367,7 +389,13 @@
         val copy = copies.getOrPut(order.copy) { StewardedCopy(CopyPhase.LOADING, nowMillis) }
         copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
         copy.usedAtMillis = nowMillis
-        val loadMillis = if (order.copy.isAdapter) settings.adapterLoadMillis else spec.models.getValue(order.copy.modelId).loadMillis
+        val loadMillis = if (order.copy.isAdapter) {
+            settings.adapterLoadMillis
+        } else {
+            spec.models.getValue(
+                order.copy.modelId,
+            ).loadMillis
+        }
         copy.readyAtMillis = nowMillis + loadMillis
         nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
@@ -48,7 +48,8 @@
     fun perSecond(startMillis: Long, nowMillis: Long): Double {
         decay(nowMillis)
         dropOld(nowMillis)
-        val seenMillis = settings.horizonMillis * (1 - exp(-(nowMillis - startMillis) / settings.horizonMillis.toDouble()))
+        val seenMillis =
+            settings.horizonMillis * (1 - exp(-(nowMillis - startMillis) / settings.horizonMillis.toDouble()))
         val prior = settings.priorPerSecond * settings.priorMillis / MILLIS_PER_SECOND
         val average = (decayedCount + prior) / (seenMillis + settings.priorMillis) * MILLIS_PER_SECOND
         val recentSeconds = settings.recentMillis / MILLIS_PER_SECOND
@@ -64,7 +65,11 @@
     }
 
     private fun dropOld(nowMillis: Long) {
-        while (recentMillis.isNotEmpty() && nowMillis - recentMillis.first() > settings.recentMillis) recentMillis.removeFirst()
+        while (recentMillis.isNotEmpty() &&
+            nowMillis - recentMillis.first() > settings.recentMillis
+        ) {
+            recentMillis.removeFirst()
+        }
     }
 
     private fun decay(nowMillis: Long) {
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -16,10 +16,12 @@
  * @property spreadValue part of a model's demand that lacks a copy, counted against models that lack all.
  * @property runSeconds how long a request holds its slot.
  * @property slotsInUse part of an engine's slots up to which requests run at a good speed.
+ * @property reloadLoss part of a model's demand that is lost while its engine loads it from disk again, which keeps the
+ * weights of all that it has held.
  * @property gainFactor by how much more a model must be asked for than what makes room for it.
  * @property diskGainFactor the same where the model comes from the engine's own disk.
- * @property adapterModelDemand demand that a model with adapters is taken to have at least: adapters are made for models
- * that are used.
+ * @property adapterModelDemand demand that a model with adapters is taken to have at least, since adapters are made
+ * for models that are used.
  * @property missWeight how much each request that found no copy adds to the demand for it, as a part of the demand.
  * @property residenceMillis how long a model stays at least that was loaded.
  * @property wantedMillis how long a model counts as wanted after a request that found no copy.
@@ -32,10 +34,11 @@
     val spreadValue: Double = 0.5,
     val runSeconds: Double = 2.0,
     val slotsInUse: Double = 0.5,
-    val gainFactor: Double = 1.5,
+    val reloadLoss: Double = 0.6,
+    val gainFactor: Double = 1.3,
     val diskGainFactor: Double = 1.1,
     val adapterModelDemand: Double = 1.0,
-    val missWeight: Double = 0.2,
+    val missWeight: Double = 0.35,
     val residenceMillis: Long = 8_000,
     val wantedMillis: Long = 6_000,
     val declinedMillis: Long = 1_000,
@@ -130,7 +133,10 @@
     }
 
     private fun dropStale(nowMillis: Long) {
-        loads.values.removeIf { nowMillis - it.startedAtMillis > 2 * (it.expectedMillis - it.startedAtMillis) + STALE_MILLIS }
+        loads.values.removeIf {
+            nowMillis - it.startedAtMillis >
+                2 * (it.expectedMillis - it.startedAtMillis) + STALE_MILLIS
+        }
         declinedUntilMillis.values.removeIf { it <= nowMillis }
         wantedAtMillis.values.removeIf { nowMillis - it > settings.wantedMillis }
         loadedAtMillis.values.removeIf { nowMillis - it > settings.residenceMillis }
@@ -187,13 +193,15 @@
             val count = copies[modelId] ?: 1
             if (count > neededCopies(model)) return demand(modelId) * settings.spareValue
             val least = if (model.adapterCount > 0) settings.adapterModelDemand else 0.0
-            return maxOf(least, demand(modelId)) / count
+            return settings.reloadLoss * maxOf(least, demand(modelId)) / count
         }
 
         fun planOrNull(model: ModelSpec): LoadPlan? {
             val gain = gainOf(model)
             return engines
-                .filter { it.targetId !in loadingAt && it.targetId !in declinedUntilMillis && model.modelId !in it.held }
+                .filter {
+                    it.targetId !in loadingAt && it.targetId !in declinedUntilMillis && model.modelId !in it.held
+                }
                 .mapNotNull { optionOrNull(it, model) }
                 .filter { it.plan.isFromDisk || !isStoreBusy }
                 .filter { it.plan.victims.isEmpty() || gain >= it.victimsValue * gainFactorOf(it.plan) }
--- a/core/src/main/kotlin/org/banyanturn/core/routing/TargetLoad.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/TargetLoad.kt
@@ -26,7 +26,14 @@
 
     /** Returns the load after this router sent request [attemptId]. */
     public fun sent(attemptId: String, nowMillis: Long): TargetLoad =
-        TargetLoad(reportedRequests, batchSlots, asOfMillis, sentMillis + (attemptId to nowMillis), endedMillis, reportLifeMillis)
+        TargetLoad(
+            reportedRequests,
+            batchSlots,
+            asOfMillis,
+            sentMillis + (attemptId to nowMillis),
+            endedMillis,
+            reportLifeMillis,
+        )
 
     /** Returns the load after request [attemptId] of this router ended; one that the report counts is taken off. */
     public fun ended(attemptId: String, nowMillis: Long): TargetLoad {
--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -55,7 +55,11 @@
         get() = if (kind != RouteKind.STREAM) {
             null
         } else {
-            maxOf(LEAST_PATIENCE_MILLIS, LATENCIES_OF_PATIENCE * targetLatencyMillis, GAPS_OF_PATIENCE * (gapMillis ?: 0))
+            maxOf(
+                LEAST_PATIENCE_MILLIS,
+                LATENCIES_OF_PATIENCE * targetLatencyMillis,
+                GAPS_OF_PATIENCE * (gapMillis ?: 0),
+            )
         }
 
     /** Whether a request may run again after an attempt whose outcome is unknown. */
--- a/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
@@ -34,6 +34,9 @@
     /** Whether messages to and from a VM are lost. */
     var isCut: (vm: Int) -> Boolean = { false }
 
+    /** VMs that were cut off for a while count as isolated. */
+    private fun vms(): SharingVms = SharingVms(vmCount, (0 until vmCount).count { isCut(it) })
+
     fun loseCollector(nowMillis: Long) {
         collector = AllotmentCollector(RATE, BURST, nowMillis)
     }
@@ -73,7 +76,7 @@
         val report = shares[vm].dueReportOrNull(nowMillis) ?: return
         if (isCut(vm)) return
         messages += (nowMillis + delayMillis) to {
-            val grant = collector.onReport(Incarnation(VmId("vm-$vm"), 1), report, vmCount, nowMillis + delayMillis)
+            val grant = collector.onReport(Incarnation(VmId("vm-$vm"), 1), report, vms(), nowMillis + delayMillis)
             messages += (nowMillis + 2 * delayMillis) to {
                 shares[vm].onGrant(grant, nowMillis + 2 * delayMillis)
                 decide(vm, nowMillis + 2 * delayMillis)
@@ -121,7 +124,10 @@
             val fleet = AllotmentFleet(vmCount = 8)
             fleet.play(arrivals, 31_000)
             val needed = refusalsOfOneBucket(arrivals)
-            assertTrue(fleet.refusals <= needed + 1, "round $round: ${fleet.refusals} of ${arrivals.size}, one bucket $needed")
+            assertTrue(
+                fleet.refusals <= needed + 1,
+                "round $round: ${fleet.refusals} of ${arrivals.size}, one bucket $needed",
+            )
         }
     }
 
@@ -138,6 +144,17 @@
         }
     }
 
+    @Test
+    fun `the limit holds while VMs are cut off from the others and one member sends many times its rate`() {
+        val random = Random(20_261_207)
+        val arrivals = arrivals(random, perSecond = 60.0, 24_000) { it.nextInt(8) }
+        val fleet = AllotmentFleet(vmCount = 8)
+        var now = 0L
+        fleet.isCut = { vm -> vm < 3 && now in 1_000..13_000 }
+        fleet.play(arrivals, 25_000) { now = it }
+        assertTrue(fleet.mostInWindow() <= allowed, "${fleet.mostInWindow()} of $allowed")
+    }
+
     @Test
     fun `the limit holds while VMs are cut off and the collector starts anew`() {
         val random = Random(20_261_206)
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -138,7 +138,11 @@
 public fun field(name: String, value: Any?): LogField = LogField(name, value)
 
 /** Logs [event] with its number and [fields]. */
-public fun KLogger.event(event: Event, vararg fields: LogField, cause: Throwable? = null) {
+public fun KLogger.event(event: Event, vararg fields: LogField, cause: Throwable? = null): Unit =
+    event(event, fields.asList(), cause)
+
+/** Logs [event] with its number and [fields]. */
+public fun KLogger.event(event: Event, fields: List<LogField>, cause: Throwable? = null) {
     at(event.level) {
         message = "BT${event.number} ${event.text}" + fields.joinToString("") { " ${it.name}=${it.value}" }
         this.cause = cause
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -39,15 +39,18 @@
 import org.banyanturn.entry.http.listenForQuestions
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerDesk
+import org.banyanturn.entry.peers.PeerLiveness
 import org.banyanturn.entry.peers.PeerSocket
-import org.banyanturn.entry.requests.TargetNeed
+import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
 import org.banyanturn.entry.requests.RequestEnvironment
 import org.banyanturn.entry.requests.RequestHandler
 import org.banyanturn.entry.requests.ServiceRetries
+import org.banyanturn.entry.requests.TargetNeed
 import org.banyanturn.entry.requests.TargetPlacement
 import org.banyanturn.entry.requests.WaitingRoom
 import org.banyanturn.platform.hosted.EngineOrders
@@ -120,13 +123,14 @@
     )
     private val catalogFollower = CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log)
     private val targetFollower = TargetFollower(store.targets, view, StoreWatch("targets", clock, log), clock, log)
-    private val limits = MemberLimits(ownership::vmCount, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
-    private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock)
+    private val liveness = PeerLiveness(ownership, self, clock)
+    private val limits = MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
+    private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
     private val placement = TargetPlacement(view, clock, random)
     private val waitingRoom = WaitingRoom(placement, clock)
     private val retries = ServiceRetries(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
-        ownership::vmCount,
+        { liveness.sharingVms().count },
     )
     private val numbers = generateSequence(1L) { it + 1 }.iterator()
     private val copyRequests = CopyRequests(view, clock, log, numbers)
@@ -143,12 +147,15 @@
         log = log,
         checkSuspension = ::checkSuspension,
     )
+    private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
     private val handler = RequestHandler(
         RequestEnvironment(
-            clock, loop, view, channels, placement, waitingRoom, copyRequests, limits, retries, log, metrics, random,
+            clock, loop, view, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
+            metrics, random,
         ),
     )
-    private val peers = PeerDesk(self, ownership, allotments, copyRequests, planner, engines, view)
+    private val relay = CatalogRelay(self, boot.relayPort, exchanges, catalogFollower, view, scope, clock)
+    private val peers = PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, relay, crashes)
     private val waitingNeeds = object : WaitingNeeds {
         override fun needOrNull(copy: CopyName): TargetNeed? = waitingRoom.needOrNull(copy)
 
@@ -170,7 +177,12 @@
         listen()
         installSignalHandlers()
         onLoop(::startWork)
-        log.write(Event.PROCESS_STARTED, field("vm", boot.vmId), field("zone", boot.zoneId), field("incarnation", self.incarnation.number))
+        log.write(
+            Event.PROCESS_STARTED,
+            field("vm", boot.vmId),
+            field("zone", boot.zoneId),
+            field("incarnation", self.incarnation.number),
+        )
         ended.await()
         log.write(Event.SHUTDOWN_FINISHED, field("vm", boot.vmId))
     }
@@ -191,6 +203,7 @@
         listenForQuestions(group, SocketAddressText(boot.address, boot.metricsPort)) {
             SmallAnswer(HttpResponseStatus.OK, metricsText(metrics.registry).encodeToByteArray())
         }
+        listenForQuestions(group, SocketAddressText(boot.address, boot.relayPort), relay::answer)
         callerSocket = listenForCallers(group, boot.callerAddress, shared)
     }
 
@@ -201,15 +214,21 @@
 
     private fun startWork() {
         connectParts()
-        scope.launch { catalogFollower.run() }
-        scope.launch { targetFollower.run() }
-        scope.launch { ownership.run() }
-        loop.scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
-        loop.scheduleAtFixedRate(peers::sendUses, USES_MILLIS, USES_MILLIS, TimeUnit.MILLISECONDS)
-        loop.scheduleAtFixedRate(::tickSecond, SECOND_MILLIS, SECOND_MILLIS, TimeUnit.MILLISECONDS)
+        scope.launch { superviseForever("catalog") { catalogFollower.run() } }
+        scope.launch { superviseForever("targets") { targetFollower.run() } }
+        scope.launch { superviseForever("ownership") { ownership.run() } }
+        repeatEvery(TICK_MILLIS, supervised("tick", ::tick))
+        repeatEvery(USES_MILLIS, supervised("uses", peers::sendUses))
+        repeatEvery(SECOND_MILLIS, supervised("second", ::tickSecond))
+    }
+
+    private fun repeatEvery(periodMillis: Long, work: () -> Unit) {
+        loop.scheduleAtFixedRate(work, periodMillis, periodMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun connectParts() {
+        crashes.onRecord = peers::sendCrashRecord
+
         copyRequests.questions = peers
         copyRequests.waiting = waitingNeeds
         waitingRoom.onCopyMissing = copyRequests::onModelReady
@@ -242,6 +261,8 @@
         val nowMillis = clock.nowMillis()
         connections.toList().forEach { it.closeIfOverdue(nowMillis) }
         channels.closeStale()
+        liveness.refresh()
+        peers.sendHeartbeats()
         allotments.forgetForeign()
         planner.startDue(peers::isPlanner)
     }
@@ -259,6 +280,7 @@
 
     override fun announceLeaving() {
         log.write(Event.SHUTDOWN_STARTED, field("vm", boot.vmId))
+        peers.sendLeaving()
         scope.launch { ownership.leave() }
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -119,7 +119,12 @@
 
     private fun ask(copy: CopyName, asked: PendingCopy): CopyOutlook {
         pending[copy] = asked
-        log.write(Event.COPY_WANTED, field("copy", copy), field("target", asked.targetId), field("number", asked.number))
+        log.write(
+            Event.COPY_WANTED,
+            field("copy", copy),
+            field("target", asked.targetId),
+            field("number", asked.number),
+        )
         sendQuestion(copy, asked)
         return pending[copy]?.outlook(clock.nowMillis()) ?: outlookAfterAnswer(asked.need, copy)
     }
@@ -187,7 +192,11 @@
     /** Asks for the adapters that wait for a model which has come. */
     fun onModelReady(need: TargetNeed) {
         val holders = waiting.modelHolders(need)
-        if (holders.isNotEmpty() && need.copy !in pending && want(need, holders) is CopyOutlook.Unavailable) waiting.giveUp(need)
+        if (holders.isNotEmpty() && need.copy !in pending &&
+            want(need, holders) is CopyOutlook.Unavailable
+        ) {
+            waiting.giveUp(need)
+        }
     }
 
     private fun specOf(service: ServiceName): EngineSpec? = view.catalog?.services?.get(service)?.engine
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -35,7 +35,7 @@
     fun answer(asker: Asker, answer: CopyAnswer)
 }
 
-/** Chooses the engines for models that are asked for, on the VM that plans for a service; used on the event loop only. */
+/** Has models loaded that are asked for, on the VM that plans for their service; used on the event loop only. */
 internal class PlannerDesk(
     private val view: FleetView,
     private val clock: ProcessClock,
@@ -123,7 +123,8 @@
 
     /** Notes that the engine [targetId] holds [copy]. */
     fun onReady(targetId: TargetId, copy: CopyName) {
-        val plan = running.values.firstOrNull { it.plan.targetId == targetId && it.plan.modelId == copy.modelId } ?: return
+        val plan =
+            running.values.firstOrNull { it.plan.targetId == targetId && it.plan.modelId == copy.modelId } ?: return
         running -= plan.number
         view.directory.targets[targetId]?.let { view.noteCopy(it, copy, isPresent = true) }
         plannerOf(plan.service).ended(copy.modelId, wasDeclined = false, clock.nowMillis())
@@ -132,7 +133,10 @@
 
     private fun onDeclined(plan: RunningPlan, reason: String) {
         log.write(
-            Event.COPY_DECLINED, field("copy", plan.plan.modelId), field("target", plan.plan.targetId), field("reason", reason),
+            Event.COPY_DECLINED,
+            field("copy", plan.plan.modelId),
+            field("target", plan.plan.targetId),
+            field("reason", reason),
         )
         running -= plan.number
         plannerOf(plan.service).ended(plan.plan.modelId, wasDeclined = true, clock.nowMillis())
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -90,7 +90,9 @@
                     field("source", source),
                 )
             },
-            failure = { log.write(Event.DECLARATION_UNREADABLE, field("key", CATALOG_KEY), field("error", it.problem)) },
+            failure = {
+                log.write(Event.DECLARATION_UNREADABLE, field("key", CATALOG_KEY), field("error", it.problem))
+            },
         )
     }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
@@ -89,7 +89,12 @@
         val nowMillis = clock.nowMillis()
         if (record.value == null) {
             if (!isIdentifier(record.key)) return known
-            log.write(Event.TARGET_CHANGED, field("target", record.key), field("state", "removed"), field("mayHaveLapsed", mayHaveLapsed))
+            log.write(
+                Event.TARGET_CHANGED,
+                field("target", record.key),
+                field("state", "removed"),
+                field("mayHaveLapsed", mayHaveLapsed),
+            )
             return known.missing(TargetId(record.key), mayHaveLapsed, nowMillis)
         }
         val entry = entryOrNull(record) ?: return known
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
@@ -114,7 +114,8 @@
         val request = checkNotNull(head) { "a body follows its head" }
         head = null
         body = null
-        val started = CallerExchange(context.channel(), request, collected, headAtMillis, shared.isClosing, ::endExchange)
+        val started =
+            CallerExchange(context.channel(), request, collected, headAtMillis, shared.isClosing, ::endExchange)
         exchange = started
         shared.onRequest(started)
     }
@@ -153,8 +154,10 @@
         val headStarted = firstByteMillis
         when {
             exchange != null -> return
+
             headStarted != null && nowMillis - headStarted > limits.headerTimeoutMillis ->
                 refuseMalformed(HttpResponseStatus.REQUEST_TIMEOUT)
+
             nowMillis - lastActiveMillis > limits.idleTimeoutMillis -> context.close()
         }
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetChannels.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetChannels.kt
@@ -151,7 +151,9 @@
                 openByAddress.computeIfPresent(address) { _, count -> if (count > 1) count - 1 else null }
                 request.release()
                 if (!isCancelled) {
-                    listener.onFailure(AttemptFailure(wasSent = false, AttemptFailureKind.CONNECT, "no connection: $cause"))
+                    listener.onFailure(
+                        AttemptFailure(wasSent = false, AttemptFailureKind.CONNECT, "no connection: $cause"),
+                    )
                 }
                 return
             }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -53,7 +53,12 @@
         isRequestWritten = false
         channel.writeAndFlush(request).addListener { written ->
             isRequestWritten = written.isSuccess
-            if (!written.isSuccess) fail(AttemptFailureKind.BROKEN, "the request could not be written: ${written.cause()}")
+            if (!written.isSuccess) {
+                fail(
+                    AttemptFailureKind.BROKEN,
+                    "the request could not be written: ${written.cause()}",
+                )
+            }
         }
         return ConnectionAttempt(newListener)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/DecisionLog.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/DecisionLog.kt
@@ -31,7 +31,10 @@
     fun isSampled(): Boolean = ++calmRequests % SAMPLED_ONE_IN == 0L
 
     /** Writes [event], or counts it as dropped if this second had too many lines. */
-    fun write(event: Event, vararg fields: LogField) {
+    fun write(event: Event, vararg fields: LogField): Unit = write(event, fields.asList())
+
+    /** Writes [event], or counts it as dropped if this second had too many lines. */
+    fun write(event: Event, fields: List<LogField>) {
         val nowMillis = clock.nowMillis()
         if (nowMillis - secondStartMillis >= MILLIS_PER_SECOND) startSecond(nowMillis)
         linesInSecond++
@@ -40,7 +43,7 @@
             metrics.droppedLogLines.inc()
             return
         }
-        logger.event(event, *fields)
+        logger.event(event, fields)
     }
 
     private fun startSecond(nowMillis: Long) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
@@ -84,7 +84,7 @@
     fun end() {
         if (isCalm && !log.isSampled()) return
         lines.forEach { line ->
-            log.write(line.event, field("request", requestId), field("ageMillis", line.ageMillis), *line.fields)
+            log.write(line.event, listOf(field("request", requestId), field("ageMillis", line.ageMillis)) + line.fields)
         }
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
@@ -20,6 +20,7 @@
     private val view: FleetView,
     private val self: Incarnation,
     private val clock: ProcessClock,
+    private val liveness: PeerLiveness,
 ) {
     private val collectors = HashMap<MemberId, RunningCollector>()
 
@@ -63,7 +64,7 @@
             running.terms = terms
             running.collector.setLimit(ratePerSecond, terms.burst, nowMillis)
         }
-        return running.collector.onReport(from, report, ownership.vmCount, nowMillis)
+        return running.collector.onReport(from, report, liveness.sharingVms(), nowMillis)
     }
 
     /** Forgets the collectors of members that other VMs own by now. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -22,6 +22,7 @@
     @ProtoNumber(9) val crashRecords: List<String> = emptyList(),
     @ProtoNumber(10) val leaving: List<CopyAtMessage> = emptyList(),
     @ProtoNumber(11) val demands: List<DemandMessage> = emptyList(),
+    @ProtoNumber(12) val isLeaving: Boolean = false,
 )
 
 /** A member's use at the sender, for the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -18,8 +18,10 @@
 import org.banyanturn.entry.copies.EngineOwnerDesk
 import org.banyanturn.entry.copies.PlannerDesk
 import org.banyanturn.entry.copies.PlannerLines
+import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.Peer
+import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
 
 /** How a copy that won't be loaded is said in a datagram. */
@@ -29,11 +31,14 @@
 internal class PeerDesk(
     private val self: Peer,
     private val ownership: Ownership,
+    private val liveness: PeerLiveness,
     private val allotments: AllotmentExchange,
     private val copyRequests: CopyRequests,
     private val planner: PlannerDesk,
     private val engines: EngineOwnerDesk,
     private val view: FleetView,
+    private val relay: CatalogRelay,
+    private val crashes: CrashWatch,
 ) : CopyQuestions, PlannerLines {
     private val waiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
 
@@ -45,6 +50,23 @@
         allotments.dueReports().forEach { (peer, reports) -> send(peer.host, reports = reports) }
     }
 
+    /** Tells all VMs that this one runs, and which catalog it follows; called about once a second. */
+    fun sendHeartbeats() {
+        others().forEach { send(it.host) }
+    }
+
+    /** Tells all VMs that this one leaves. */
+    fun sendLeaving() {
+        others().forEach { send(it.host, isLeaving = true) }
+    }
+
+    /** Tells all VMs of evidence on a request that may crash its targets. */
+    fun sendCrashRecord(payload: String) {
+        others().forEach { send(it.host, crashRecords = listOf(payload)) }
+    }
+
+    private fun others(): List<Peer> = ownership.peers.filterNot(ownership::isSelf)
+
     /** Tells the engines' owners which copies this VM uses, and the planners what its callers ask for. */
     fun sendUses() {
         val usesByOwner = LinkedHashMap<Peer, MutableList<CopyAtMessage>>()
@@ -94,13 +116,22 @@
         if (ownership.isSelf(peer)) {
             planner.want(service, copy, Asker(host = null, number))
         } else {
-            send(peer.host, wants = listOf(CopyWantMessage(number, modelId = copy.modelId.value, service = service.value)))
+            send(
+                peer.host,
+                wants = listOf(CopyWantMessage(number, modelId = copy.modelId.value, service = service.value)),
+            )
         }
         return true
     }
 
     override fun answer(asker: Asker, answer: CopyAnswer) {
-        if (asker.host == null) copyRequests.onAnswer(answer) else send(asker.host, replies = listOf(answer.toMessage()))
+        if (asker.host ==
+            null
+        ) {
+            copyRequests.onAnswer(answer)
+        } else {
+            send(asker.host, replies = listOf(answer.toMessage()))
+        }
     }
 
     /** Tells all who wait for it that [target] holds [copy]. */
@@ -117,7 +148,7 @@
     fun announceLeaving(target: KnownTarget, copy: CopyName) {
         view.noteCopy(target, copy, isPresent = false)
         val leaving = listOf(copy.at(target.entry.targetId))
-        ownership.peers.filterNot(ownership::isSelf).forEach { send(it.host, leaving = leaving) }
+        others().forEach { send(it.host, leaving = leaving) }
     }
 
     private fun ownerOrNull(targetId: TargetId): Peer? = ownership.ownerOrNull(EngineOwnerDesk.keyOf(targetId))
@@ -131,6 +162,9 @@
     fun onDatagram(datagram: PeerDatagram, senderHost: String) {
         if (!isIdentifier(datagram.vmId)) return
         val from = Incarnation(VmId(datagram.vmId), datagram.incarnation)
+        if (datagram.isLeaving) return liveness.onLeft(from)
+        liveness.onHeard(from)
+        relay.onVersion(datagram.catalogVersion, senderHost)
         if (datagram.grants.isNotEmpty()) allotments.onGrants(datagram.grants)
         datagram.replies.map { it.toAnswer() }.forEach { answer ->
             copyRequests.onAnswer(answer)
@@ -138,6 +172,7 @@
         }
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.noteUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::takeLeaving)
+        datagram.crashRecords.forEach(crashes::onPeerRecord)
         datagram.demands.forEach { demand ->
             val copy = copyNameOrNull(demand.modelId, demand.adapterId) ?: return@forEach
             planner.noteDemand(ServiceName(demand.service), copy, demand.requests)
@@ -188,6 +223,8 @@
         uses: List<CopyAtMessage> = emptyList(),
         leaving: List<CopyAtMessage> = emptyList(),
         demands: List<DemandMessage> = emptyList(),
+        crashRecords: List<String> = emptyList(),
+        isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
             vmId = self.incarnation.vmId.value,
@@ -200,6 +237,8 @@
             uses = uses,
             leaving = leaving,
             demands = demands,
+            crashRecords = crashRecords,
+            isLeaving = isLeaving,
         )
         socket.send(host, datagram)
     }
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
@@ -0,0 +1,68 @@
+package org.banyanturn.entry.peers
+
+import org.banyanturn.core.Incarnation
+import org.banyanturn.core.VmId
+import org.banyanturn.core.limits.SharingVms
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.follow.Ownership
+import org.banyanturn.entry.follow.Peer
+
+/**
+ * Times of the VMs' words to each other.
+ *
+ * @property heartbeatMillis time between two words of a VM that has nothing else to say.
+ * @property silenceMillis silence after which a VM may be cut off.
+ * @property rememberedMillis how long a VM that the group has dropped may still run, cut off from the store.
+ */
+internal data class LivenessSettings(
+    val heartbeatMillis: Long = 1_000,
+    val silenceMillis: Long = 2_600,
+    val rememberedMillis: Long = 20_000,
+)
+
+/** Which VMs there are and which of them were heard of lately. */
+internal class PeerLiveness(
+    private val ownership: Ownership,
+    private val self: Peer,
+    private val clock: ProcessClock,
+    private val settings: LivenessSettings = LivenessSettings(),
+) {
+    private val known = HashMap<VmId, KnownPeer>()
+
+    /** Notes that the VM [from] said something. */
+    fun onHeard(from: Incarnation) {
+        val nowMillis = clock.nowMillis()
+        val peer = known[from.vmId]
+        if (peer == null || peer.incarnation.number < from.number) known[from.vmId] = KnownPeer(from, nowMillis, nowMillis)
+        known[from.vmId]?.heardAtMillis = nowMillis
+    }
+
+    /** Takes over the VMs that the group names now; called about once a second. */
+    fun refresh() {
+        val nowMillis = clock.nowMillis()
+        ownership.peers.forEach { peer ->
+            val before = known[peer.incarnation.vmId]
+            if (before == null || before.incarnation.number < peer.incarnation.number) {
+                known[peer.incarnation.vmId] = KnownPeer(peer.incarnation, nowMillis, nowMillis)
+            } else {
+                before.namedAtMillis = nowMillis
+            }
+        }
+        known.values.removeIf { nowMillis - maxOf(it.namedAtMillis, it.heardAtMillis) > settings.rememberedMillis }
+    }
+
+    /** Forgets the VM [from], which has said that it leaves. */
+    fun onLeft(from: Incarnation) {
+        if (known[from.vmId]?.incarnation == from) known -= from.vmId
+    }
+
+    /** Returns the VMs that share the members' limits. */
+    fun sharingVms(): SharingVms {
+        val nowMillis = clock.nowMillis()
+        val others = known.values.filter { it.incarnation.vmId != self.incarnation.vmId }
+        val isolated = others.count { nowMillis - it.heardAtMillis > settings.silenceMillis }
+        return SharingVms(others.size + 1, isolated)
+    }
+}
+
+private class KnownPeer(val incarnation: Incarnation, var namedAtMillis: Long, var heardAtMillis: Long)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -1,9 +1,9 @@
 package org.banyanturn.entry.requests
 
-import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitBreakerSettings
 import org.banyanturn.core.routing.circuitBreakerOf
 import org.banyanturn.core.routing.targetLoadOf
@@ -151,7 +151,11 @@
         val nowMillis = clock.nowMillis()
         val news = stateOf(target).copyNews
         news[copy]?.let { if (nowMillis < it.untilMillis) return it.isPresent }
-        if (copy.isAdapter && news[copy.model]?.let { nowMillis < it.untilMillis && !it.isPresent } == true) return false
+        if (copy.isAdapter &&
+            news[copy.model]?.let { nowMillis < it.untilMillis && !it.isPresent } == true
+        ) {
+            return false
+        }
         val held = target.entry.heldModels[copy.modelId] ?: return false
         return copy.adapterId == null || copy.adapterId in held.adapters
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -5,9 +5,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.delivery.AttemptEvidence
 import org.banyanturn.core.delivery.AttemptId
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.entry.http.AnswerMatcher
 import org.banyanturn.entry.http.AttemptFailure
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -22,6 +22,7 @@
     val copyDesk: CopyDesk,
     val limits: MemberLimits,
     val retries: ServiceRetries,
+    val crashes: CrashWatch,
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val random: Random,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -29,7 +29,13 @@
         }
         val route = routeOrNull(catalog, exchange) ?: return refuse(exchange, call, OwnRefusal.NoRoute)
         val member = call.key?.let(catalog::memberOrNull)
-        if (member == null && catalog.hasMembers && !route.isPublic) return refuse(exchange, call, OwnRefusal.UnknownKey)
+        if (member == null && catalog.hasMembers &&
+            !route.isPublic
+        ) {
+            return refuse(exchange, call, OwnRefusal.UnknownKey)
+        }
+        val blockedMillis = environment.crashes.blockedForMillisOrNull(exchange)
+        if (blockedMillis != null) return refuse(exchange, call, OwnRefusal.Unavailable("crashes_targets", blockedMillis))
         val admission = Admission(exchange, call, route, member.takeUnless { route.isPublic && call.key == null })
         admit(admission)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
-import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.delivery.AnswerChunk
 import org.banyanturn.core.delivery.AttemptEvidence
@@ -18,6 +17,7 @@
 import org.banyanturn.core.delivery.RequestId
 import org.banyanturn.core.delivery.RequestLife
 import org.banyanturn.core.delivery.RequestOutcome
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.RouteKind
 import org.banyanturn.core.serving.ServiceName
@@ -65,7 +65,11 @@
     override val need: TargetNeed
         get() = TargetNeed(service, copy, affinityKey, avoided)
 
-    private fun requestId() = RequestId(admission.call.attemptId?.takeIf { it.isNotBlank() } ?: "unnamed-${nextUnnamed++}")
+    private fun requestId() = RequestId(
+        admission.call.attemptId?.takeIf {
+            it.isNotBlank()
+        } ?: "unnamed-${nextUnnamed++}",
+    )
 
     private fun copyOrNull(): CopyName? {
         val isEngine = environment.view.catalog?.services?.get(service)?.engine != null
@@ -93,21 +97,13 @@
     private fun carryOut(decision: RequestDecision) {
         when (decision) {
             is RequestDecision.ChooseTarget -> chooseTarget(decision.avoidedTargets)
-
             is RequestDecision.SendAttempt -> send(decision.attemptId)
-
             is RequestDecision.WaitUntil -> wakeAt(decision.atMillis)
-
             is RequestDecision.Forward -> Unit
-
             is RequestDecision.FinishStream -> finishStream()
-
             is RequestDecision.Answer -> deliverAnswer()
-
             is RequestDecision.Refuse -> refuse(decision.refusal, decision.endsStream)
-
             is RequestDecision.CancelAttempt -> current?.cancel()
-
             RequestDecision.Reserve, RequestDecision.AwaitOutcome, is RequestDecision.RecordOutcome -> Unit
         }
     }
@@ -203,7 +199,12 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         }
         return DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, head.method(), head.uri(), body, headers, EmptyHttpHeaders.INSTANCE,
+            HttpVersion.HTTP_1_1,
+            head.method(),
+            head.uri(),
+            body,
+            headers,
+            EmptyHttpHeaders.INSTANCE,
         )
     }
 
@@ -225,6 +226,7 @@
         relay.passRest(attempt.takeRest(), attempt.answerHead)
         current = null
         times.record(attempt.firstPartMillis, attempt.elapsedMillis())
+        environment.crashes.onAnswered(exchange)
         val deliveredEvents = life.answer.deliveredTokens
         handle(RequestEvent.ChunkReceived(AnswerChunk.Finished(attempt.attemptId, deliveredEvents, finishReason = "")))
     }
@@ -234,6 +236,7 @@
         current = null
         keepAnswer(whole)
         times.record(attempt.firstPartMillis, attempt.elapsedMillis())
+        environment.crashes.onAnswered(exchange)
         handle(RequestEvent.AttemptAnswered(attempt.attemptId, whole.toOutcome()))
     }
 
@@ -244,6 +247,9 @@
         }
         current = null
         failing?.let(::keepAnswer)
+        if (evidence == AttemptEvidence.UNKNOWN) {
+            environment.crashes.onBroken(exchange, attempt.target.entry.targetId, hasAnswered = relay.hasStarted)
+        }
         handle(RequestEvent.AttemptFailed(attempt.attemptId, evidence))
     }
 
@@ -282,7 +288,11 @@
     private fun answerRefusal(refusal: OwnRefusal) {
         trail.refused(refusal)
         environment.metrics.refused(refusal.reason)
-        if (refusal.outcome == RequestOutcome.NOT_RUN) admission.member?.let { environment.limits.refund(it, admission.cost) }
+        if (refusal.outcome ==
+            RequestOutcome.NOT_RUN
+        ) {
+            admission.member?.let { environment.limits.refund(it, admission.cost) }
+        }
         exchange.answerRefusal(refusal, admission.call.attemptId)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -1,7 +1,8 @@
 package org.banyanturn.entry.requests
 
-import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.TargetId
+import org.banyanturn.core.mixedHash
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitState
 import org.banyanturn.core.routing.CopyChooser
 import org.banyanturn.core.routing.CopyChooserSettings
@@ -9,7 +10,6 @@
 import org.banyanturn.core.routing.copyChooserOf
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
-import org.banyanturn.core.mixedHash
 import org.banyanturn.core.stableHash
 import org.banyanturn.daemon.ProcessClock
 import kotlin.random.Random
@@ -84,7 +84,9 @@
                 state = state.breaker.stateAt(nowMillis),
             )
         }
-        val open = ready.filter { it.state != CircuitState.OPEN }.ifEmpty { ready.map { it.copy(state = CircuitState.CLOSED) } }
+        val open = ready.filter {
+            it.state != CircuitState.OPEN
+        }.ifEmpty { ready.map { it.copy(state = CircuitState.CLOSED) } }
         val withRoom = open.filter { it.batchRoom > 0 }
         if (withRoom.isEmpty()) return Placement.Busy
         val chooser = if (need.copy == null) serviceChooser else engineChooser
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -1,7 +1,7 @@
 package org.banyanturn.entry.requests
 
-import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.MemberId
+import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.queueing.FairQueue
 import org.banyanturn.core.queueing.QueuedRequest
 import org.banyanturn.core.serving.KnownTarget
