--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
@@ -9,12 +9,14 @@
  *
  * @property horizonMillis how far back requests count for models that few ask for.
  * @property recentMillis the time within which a change of demand shows.
+ * @property adapterMillis how long an adapter counts as in use after a request; about as long as requests run.
  * @property priorPerSecond demand that a model is taken to have while nothing is known of it.
  * @property priorMillis how much observed time that weighs.
  */
 public data class ModelDemandSettings(
     val horizonMillis: Long = 20_000,
     val recentMillis: Long = 4_000,
+    val adapterMillis: Long = 2_000,
     val priorPerSecond: Double = 0.3,
     val priorMillis: Long = 4_000,
 )
@@ -58,9 +60,9 @@
         return max(0.0, average.coerceIn(least, most))
     }
 
-    /** Returns how many different adapters were asked for within the recent time. */
+    /** Returns how many different adapters are in use. */
     fun activeAdapters(nowMillis: Long): Int {
-        adapterSeenMillis.values.removeIf { nowMillis - it > settings.recentMillis }
+        adapterSeenMillis.values.removeIf { nowMillis - it > settings.adapterMillis }
         return adapterSeenMillis.size
     }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -10,8 +10,8 @@
 /**
  * How copies of models are planned; values are in requests a second.
  *
- * @property maxLoads model loads at once; the weight store gives no more its full speed, and an engine that loads a
- * model takes no adapters meanwhile.
+ * @property maxLoads model loads at once: one more than the weight store gives its full speed, since some of them wait
+ * for an unload; an engine that loads a model takes no adapters meanwhile.
  * @property spareValue part of a model's demand that a copy beyond those it needs is worth.
  * @property spreadValue part of a model's demand that lacks a copy, counted against models that lack all.
  * @property runSeconds how long a request holds its slot.
@@ -22,14 +22,18 @@
  * @property diskGainFactor the same where the model comes from the engine's own disk.
  * @property adapterModelDemand demand that a model with adapters is taken to have at least, since adapters are made
  * for models that are used.
+ * @property copiedModelDemand demand for each copy of a model that has several, while nothing else is known: what is
+ * used much was given more copies.
+ * @property urgentGain gain from which a load starts beyond [maxLoads], up to [urgentLoads] more.
  * @property missWeight how much each request that found no copy adds to the demand for it, as a part of the demand.
  * @property residenceMillis how long a model stays at least that was loaded.
  * @property wantedMillis how long a model counts as wanted after a request that found no copy.
+ * @property makeRoomMillis how long it takes on average until what makes room has finished its runs and is gone.
  * @property declinedMillis how long an engine is passed over that did not take a load.
  */
 public data class ModelPlannerSettings(
     val demand: ModelDemandSettings = ModelDemandSettings(),
-    val maxLoads: Int = 4,
+    val maxLoads: Int = 5,
     val spareValue: Double = 0.01,
     val spreadValue: Double = 0.5,
     val runSeconds: Double = 2.0,
@@ -37,10 +41,14 @@
     val reloadLoss: Double = 0.6,
     val gainFactor: Double = 1.3,
     val diskGainFactor: Double = 1.1,
-    val adapterModelDemand: Double = 1.0,
+    val adapterModelDemand: Double = 8.0,
+    val copiedModelDemand: Double = 2.0,
+    val urgentGain: Double = 1.5,
+    val urgentLoads: Int = 2,
     val missWeight: Double = 0.35,
     val residenceMillis: Long = 8_000,
     val wantedMillis: Long = 6_000,
+    val makeRoomMillis: Long = 1_000,
     val declinedMillis: Long = 1_000,
 )
 
@@ -116,6 +124,29 @@
             .firstNotNullOfOrNull { outlook.planOrNull(it) }
     }
 
+    /**
+     * Returns when a copy of [modelId], which no engine holds, can be expected in the turn of its gain, in
+     * milliseconds, or `null` if nothing would make room for it.
+     */
+    public fun expectedMillisOrNull(
+        modelId: ModelId,
+        engines: List<PlannedEngine>,
+        spec: EngineSpec,
+        nowMillis: Long,
+    ): Long? {
+        dropStale(nowMillis)
+        val outlook = Outlook(engines, spec, nowMillis)
+        val waiting = outlook.candidates().sortedByDescending { outlook.gainOf(it) / it.weightsMegabytes }
+        val rank = waiting.indexOfFirst { it.modelId == modelId }
+        if (rank < 0 || !outlook.mayEverLoad(waiting[rank])) return null
+        val ends = loads.values.filterNot { it.plan.isFromDisk }
+            .map { (it.expectedMillis - nowMillis).coerceAtLeast(0) }
+            .sorted()
+        val free = settings.maxLoads - ends.size
+        val startMillis = if (rank < free) 0 else ends.getOrNull(rank - free) ?: return null
+        return startMillis + waiting[rank].loadMillis + settings.makeRoomMillis
+    }
+
     /** Notes that the load of [plan] was ordered and is expected in [inMillis]. */
     public fun started(plan: LoadPlan, inMillis: Long, nowMillis: Long) {
         loads[plan.modelId] = PlannedLoad(plan, nowMillis, nowMillis + inMillis)
@@ -150,16 +181,18 @@
     ) {
         private val copies = engines.flatMap { it.held.keys }.groupingBy { it }.eachCount()
         private val loadingAt = loads.values.mapTo(HashSet()) { it.plan.targetId }
-        private val isStoreBusy = loads.values.count { !it.plan.isFromDisk } >= settings.maxLoads
+        private val storeLoads = loads.values.count { !it.plan.isFromDisk }
 
         /** Returns the models that lack a copy: those that requests did not find, and those that need a further one. */
         fun candidates(): List<ModelSpec> =
             spec.models.values.filter { model ->
                 val count = copies[model.modelId] ?: 0
-                val isWanted = if (count == 0) model.modelId in wantedAtMillis else count < neededCopies(model)
-                isWanted && model.modelId !in loads
+                model.modelId !in loads && (count == 0 || (isWatching && count < neededCopies(model)))
             }
 
+        /** Whether requests have come, so that demand is more than a guess. */
+        private val isWatching = startMillis != null
+
         private fun demand(modelId: ModelId): Double = demandPerSecond(modelId, nowMillis)
 
         /** Returns how many copies the load and the adapters of [model] take up. */
@@ -171,12 +204,11 @@
             return maxOf(1, byLoad, byPlaces)
         }
 
-        /** All adapters count as active until the planner has seen which of them are asked for. */
-        private fun activeAdapters(model: ModelSpec): Int {
-            val seenMillis = nowMillis - (startMillis ?: nowMillis)
-            val isKnown = seenMillis >= settings.demand.recentMillis || model.adapterCount == 0
-            return if (isKnown) demandOf(model.modelId).activeAdapters(nowMillis) else model.adapterCount
-        }
+        /** Whether too little has been asked for yet to tell which models are in use. */
+        private val isLearning = nowMillis - (startMillis ?: nowMillis) < settings.demand.recentMillis
+
+        private fun activeAdapters(model: ModelSpec): Int =
+            if (model.adapterCount == 0) 0 else demandOf(model.modelId).activeAdapters(nowMillis)
 
         /** Returns what a further copy is worth; a model whose requests were refused before gains with each of them. */
         fun gainOf(model: ModelSpec): Double {
@@ -191,22 +223,37 @@
         private fun valueOf(modelId: ModelId): Double {
             val model = spec.models[modelId] ?: return 0.0
             val count = copies[modelId] ?: 1
-            if (count > neededCopies(model)) return demand(modelId) * settings.spareValue
+            if (!isLearning && count > neededCopies(model)) return demand(modelId) * settings.spareValue
             val least = if (model.adapterCount > 0) settings.adapterModelDemand else 0.0
-            return settings.reloadLoss * maxOf(least, demand(modelId)) / count
+            val unknown = if (isLearning && count > 1) count * settings.copiedModelDemand else 0.0
+            return settings.reloadLoss * maxOf(least, unknown, demand(modelId)) / count
         }
 
-        fun planOrNull(model: ModelSpec): LoadPlan? {
+        fun planOrNull(model: ModelSpec): LoadPlan? =
+            options(model)
+                .filter { it.plan.isFromDisk || storeLoads < mostLoads(model) }
+                .filter { it.plan.targetId !in loadingAt && it.plan.targetId !in declinedUntilMillis }
+                .minWithOrNull(compareBy({ !it.plan.isFromDisk }, { it.victimsValue + it.blockedValue }))
+                ?.plan
+
+        private fun mostLoads(model: ModelSpec): Int =
+            settings.maxLoads + if (gainOf(model) >= settings.urgentGain) settings.urgentLoads else 0
+
+        /** Returns whether an engine would make room for [model], now or after what it loads. */
+        fun mayEverLoad(model: ModelSpec): Boolean = options(model).isNotEmpty()
+
+        private fun options(model: ModelSpec): List<LoadOption> {
             val gain = gainOf(model)
             return engines
-                .filter {
-                    it.targetId !in loadingAt && it.targetId !in declinedUntilMillis && model.modelId !in it.held
-                }
+                .filter { model.modelId !in it.held }
                 .mapNotNull { optionOrNull(it, model) }
-                .filter { it.plan.isFromDisk || !isStoreBusy }
-                .filter { it.plan.victims.isEmpty() || gain >= it.victimsValue * gainFactorOf(it.plan) }
-                .minWithOrNull(compareBy({ !it.plan.isFromDisk }, { it.victimsValue + it.blockedValue }))
-                ?.plan
+                .filter { it.plan.victims.isEmpty() || mayDrop(model, gain, it) }
+        }
+
+        /** Models that nobody waits for are loaded only where there is room. */
+        private fun mayDrop(model: ModelSpec, gain: Double, option: LoadOption): Boolean {
+            val isWaitedFor = model.modelId in wantedAtMillis || model.modelId in copies
+            return isWaitedFor && gain >= option.victimsValue * gainFactorOf(option.plan)
         }
 
         private fun gainFactorOf(plan: LoadPlan): Double =
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -25,6 +25,7 @@
 import org.banyanturn.entry.copies.PlannerDesk
 import org.banyanturn.entry.copies.WaitingNeeds
 import org.banyanturn.entry.follow.CatalogFollower
+import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.OwnershipSettings
 import org.banyanturn.entry.follow.Peer
@@ -39,7 +40,6 @@
 import org.banyanturn.entry.http.listenForQuestions
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
-import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerDesk
 import org.banyanturn.entry.peers.PeerLiveness
@@ -57,6 +57,7 @@
 import org.banyanturn.platform.hosted.HostedStore
 import org.banyanturn.platform.hosted.SocketAddressText
 import org.banyanturn.platform.hosted.VmBoot
+import sun.misc.Signal
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -83,6 +84,9 @@
 /** How long the balancer takes to notice that a VM is not ready: two questions, one a second, and some delay. */
 private const val READINESS_LAG_MILLIS = 2_500L
 
+/** How long the last bytes may take to leave once everything has its answer. */
+private const val STOP_MILLIS = 100L
+
 /** Time that is left before the platform kills the process. */
 private const val EXIT_MARGIN_MILLIS = 400L
 
@@ -124,7 +128,8 @@
     private val catalogFollower = CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log)
     private val targetFollower = TargetFollower(store.targets, view, StoreWatch("targets", clock, log), clock, log)
     private val liveness = PeerLiveness(ownership, self, clock)
-    private val limits = MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
+    private val limits =
+        MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
     private val placement = TargetPlacement(view, clock, random)
     private val waitingRoom = WaitingRoom(placement, clock)
@@ -155,7 +160,8 @@
         ),
     )
     private val relay = CatalogRelay(self, boot.relayPort, exchanges, catalogFollower, view, scope, clock)
-    private val peers = PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, relay, crashes)
+    private val peers =
+        PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, relay, crashes)
     private val waitingNeeds = object : WaitingNeeds {
         override fun needOrNull(copy: CopyName): TargetNeed? = waitingRoom.needOrNull(copy)
 
@@ -185,6 +191,7 @@
         )
         ended.await()
         log.write(Event.SHUTDOWN_FINISHED, field("vm", boot.vmId))
+        group.shutdownGracefully(0, STOP_MILLIS, TimeUnit.MILLISECONDS).sync()
     }
 
     private fun listen() {
@@ -268,12 +275,17 @@
     }
 
     private fun installSignalHandlers() {
-        sun.misc.Signal.handle(sun.misc.Signal("TERM")) { onLoop(shutdown::begin) }
-        sun.misc.Signal.handle(sun.misc.Signal("HUP")) {
+        Signal.handle(Signal("TERM")) { requestStop() }
+        Signal.handle(Signal("HUP")) {
             onLoop { log.write(Event.SETTINGS_RELOADED, field("vm", boot.vmId)) }
         }
     }
 
+    /** Asks the process to finish what it has taken and to end; the same as SIGTERM. */
+    fun requestStop() {
+        if (ended.count > 0) onLoop(shutdown::begin)
+    }
+
     private fun onLoop(action: () -> Unit) {
         loop.execute(action)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -20,13 +20,15 @@
  *
  * @property repeatMillis after what time an unanswered question is sent again.
  * @property giveUpMillis after what time a VM that does not answer is passed over.
- * @property marginMillis how long after the promised time a copy may still come.
+ * @property marginMillis how long after the promised time an adapter may still come.
+ * @property modelMarginMillis the same for a model.
  * @property declinedMillis how long a question that was declined is not asked again.
  */
 internal data class CopyRequestSettings(
     val repeatMillis: Long = 40,
     val giveUpMillis: Long = 250,
     val marginMillis: Long = 1_500,
+    val modelMarginMillis: Long = 4_000,
     val declinedMillis: Long = 300,
 )
 
@@ -181,7 +183,7 @@
         declined.values.removeIf { it <= nowMillis }
         pending.entries.toList().forEach { (copy, asked) ->
             when {
-                nowMillis > asked.expectedMillis + settings.marginMillis -> decline(copy, asked, "overdue")
+                nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, "overdue")
                 asked.isAnswered -> Unit
                 nowMillis - asked.askedAtMillis > settings.giveUpMillis -> decline(copy, asked, "no_answer")
                 nowMillis - asked.sentAtMillis > settings.repeatMillis -> sendQuestion(copy, asked)
@@ -189,6 +191,9 @@
         }
     }
 
+    private fun marginMillis(copy: CopyName): Long =
+        if (copy.isAdapter) settings.marginMillis else settings.modelMarginMillis
+
     /** Asks for the adapters that wait for a model which has come. */
     fun onModelReady(need: TargetNeed) {
         val holders = waiting.modelHolders(need)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -5,6 +5,7 @@
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.placement.LoadPlan
 import org.banyanturn.core.placement.ModelPlanner
+import org.banyanturn.core.placement.ModelPlannerSettings
 import org.banyanturn.core.placement.PlannedEngine
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
@@ -16,8 +17,8 @@
 /** Loads that are started at one time at most. */
 private const val MAX_STARTS = 8
 
-/** Time beyond the pure load from disk until the copy is known to be there. */
-private const val DISK_MARGIN_MILLIS = 400L
+/** Time beyond the pure load until a report has told of the copy. */
+private const val REPORT_MARGIN_MILLIS = 400L
 
 /** Time after which an owner that does not answer is asked again, and after which it is passed over. */
 private const val REPEAT_MILLIS = 40L
@@ -44,6 +45,7 @@
 ) {
     private val planners = HashMap<ServiceName, ModelPlanner>()
     private val running = LinkedHashMap<Long, RunningPlan>()
+    private val queued = HashMap<Pair<ServiceName, ModelId>, MutableSet<Asker>>()
 
     /** How owners and askers are reached. */
     lateinit var lines: PlannerLines
@@ -60,11 +62,21 @@
         plannerOf(service).noteMiss(copy.modelId, clock.nowMillis())
         startNext(service)
         val known = running.values.firstOrNull { it.service == service && it.plan.modelId == copy.modelId }
-            ?: return lines.answer(asker, CopyAnswer(asker.number, readyInMillis = null, targetId = null, "no_plan"))
+            ?: return queue(service, copy, asker)
         known.askers += asker
         lines.answer(asker, known.answerTo(asker, clock.nowMillis()))
     }
 
+    /** Tells [asker] when the load can be expected whose turn has not come, or that none can. */
+    private fun queue(service: ServiceName, copy: CopyName, asker: Asker) {
+        val spec = view.catalog?.services?.get(service)?.engine
+        val inMillis = spec?.let {
+            plannerOf(service).expectedMillisOrNull(copy.modelId, enginesOf(service), it, clock.nowMillis())
+        }
+        if (inMillis != null) queued.getOrPut(service to copy.modelId) { LinkedHashSet() } += asker
+        lines.answer(asker, CopyAnswer(asker.number, inMillis, targetId = null, reason = "no_plan"))
+    }
+
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
         view.directory.byService[service].orEmpty()
             .firstOrNull { it.takesRequests && view.holds(it, copy) }?.entry?.targetId
@@ -76,7 +88,9 @@
         repeat(MAX_STARTS) {
             val plan = planner.nextPlanOrNull(enginesOf(service), spec, clock.nowMillis()) ?: return
             val model = spec.models.getValue(plan.modelId)
-            start(service, plan, if (plan.isFromDisk) model.diskLoadMillis + DISK_MARGIN_MILLIS else model.loadMillis)
+            val loadMillis = if (plan.isFromDisk) model.diskLoadMillis else model.loadMillis
+            val makeRoomMillis = if (plan.victims.isEmpty()) 0 else ModelPlannerSettings().makeRoomMillis
+            start(service, plan, loadMillis + makeRoomMillis + REPORT_MARGIN_MILLIS)
         }
     }
 
@@ -85,6 +99,7 @@
         val planner = plannerOf(service)
         val started = RunningPlan(numbers.next(), service, plan, nowMillis)
         started.expectedMillis = nowMillis + loadMillis
+        started.askers += queued.remove(service to plan.modelId).orEmpty()
         running[started.number] = started
         planner.started(plan, loadMillis, nowMillis)
         log.write(
@@ -96,6 +111,7 @@
             field("demandPerSecond", planner.demandPerSecond(plan.modelId, nowMillis)),
         )
         send(started)
+        if (started.number in running) started.askers.forEach { lines.answer(it, started.answerTo(it, nowMillis)) }
     }
 
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
@@ -33,7 +33,11 @@
     fun onHeard(from: Incarnation) {
         val nowMillis = clock.nowMillis()
         val peer = known[from.vmId]
-        if (peer == null || peer.incarnation.number < from.number) known[from.vmId] = KnownPeer(from, nowMillis, nowMillis)
+        if (peer == null ||
+            peer.incarnation.number < from.number
+        ) {
+            known[from.vmId] = KnownPeer(from, nowMillis, nowMillis)
+        }
         known[from.vmId]?.heardAtMillis = nowMillis
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -35,7 +35,11 @@
             return refuse(exchange, call, OwnRefusal.UnknownKey)
         }
         val blockedMillis = environment.crashes.blockedForMillisOrNull(exchange)
-        if (blockedMillis != null) return refuse(exchange, call, OwnRefusal.Unavailable("crashes_targets", blockedMillis))
+        if (blockedMillis !=
+            null
+        ) {
+            return refuse(exchange, call, OwnRefusal.Unavailable("crashes_targets", blockedMillis))
+        }
         val admission = Admission(exchange, call, route, member.takeUnless { route.isPublic && call.key == null })
         admit(admission)
     }
--- /dev/null
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -0,0 +1,102 @@
+package org.banyanturn.standin.hosted
+
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.routing
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import java.util.concurrent.ConcurrentLinkedQueue
+
+private const val STOP_TIMEOUT_MILLIS = 200L
+private const val PARTITIONS_PER_TOPIC = 12
+
+/**
+ * A small stand-in for the prepared platform, on the ports of one host: its store, the operators' document and targets.
+ *
+ * It speaks what the platform's pages say, for tests and the demonstration; nothing is kept.
+ */
+public class HostedPlatformStandin(private val host: String = "127.0.0.1") : AutoCloseable {
+    private val store = HostedStoreStandin(PARTITIONS_PER_TOPIC)
+    private val servers = ArrayList<EmbeddedServer<*, *>>()
+    private val targets = LinkedHashMap<String, RunningTarget>()
+    private val seenRuns = ConcurrentLinkedQueue<HostedRun>()
+
+    /** Port of the store, once [start] has returned. */
+    public var storePort: Int = 0
+        private set
+
+    /** What the targets have run so far, oldest first. */
+    public val runs: List<HostedRun>
+        get() = seenRuns.toList()
+
+    /** Whether the store turns every call away. */
+    public var isStoreDown: Boolean by store::isDown
+
+    /** Starts the store. */
+    public suspend fun start() {
+        storePort = serve { with(store) { addRoutes() } }
+    }
+
+    /** Puts the operators' [document] in force. */
+    public fun declare(document: String) {
+        store.write("keyed.op", "config", document)
+    }
+
+    /** Starts an engine of [service] that holds [models], and lists it. */
+    public suspend fun startEngine(id: String, service: String, models: List<String>) {
+        startTarget(id, service, HostedTargetStandin(id, isEngine = true, models, seenRuns))
+    }
+
+    /** Starts a plain target of [service] and lists it. */
+    public suspend fun startService(id: String, service: String) {
+        startTarget(id, service, HostedTargetStandin(id, isEngine = false, emptyList(), seenRuns))
+    }
+
+    private suspend fun startTarget(id: String, service: String, target: HostedTargetStandin) {
+        val port = serve { with(target) { addRoutes() } }
+        targets[id] = RunningTarget(target, service, port)
+        list(id)
+    }
+
+    /** Writes the entry of the target [id] anew, with what it holds now. */
+    public fun list(id: String, state: String = "ready") {
+        val running = targets.getValue(id)
+        val entry = buildJsonObject {
+            put("service", running.service)
+            put("address", "$host:${running.port}")
+            put("zone", "zone-a")
+            put("slots", 48)
+            put("state", state)
+            put("models", running.target.heldModels())
+            put("sequence", ++running.heartbeats)
+        }
+        store.write("keyed.servers", id, entry.toString())
+    }
+
+    /** Drops the entry of the target [id], as if it had left. */
+    public fun unlist(id: String) {
+        store.write("keyed.servers", id, null)
+    }
+
+    /** Lets the next stream of the engine [id] break off after [events] events. */
+    public fun cutNextStream(id: String, events: Int) {
+        targets.getValue(id).target.cutAfterEvents = events
+    }
+
+    private suspend fun serve(routes: Route.() -> Unit): Int {
+        val server = embeddedServer(CIO, port = 0, host = host) { routing { routes() } }
+        servers += server
+        server.startSuspend(wait = false)
+        return server.engine.resolvedConnectors().first().port
+    }
+
+    override fun close() {
+        servers.forEach { it.stop(0, STOP_TIMEOUT_MILLIS) }
+    }
+}
+
+private class RunningTarget(val target: HostedTargetStandin, val service: String, val port: Int) {
+    var heartbeats = 0
+}
