--- a/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
@@ -1,6 +1,7 @@
 package org.banyanturn.entry.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -23,7 +24,7 @@
 private const val MAX_LINE_BYTES = 16_384
 private const val MAX_SMALL_BODY_BYTES = 65_536
 
-/** Headers may be larger than the callers' limit by this factor before the connection is refused. */
+/** Callers stay within smaller limits; larger heads are refused before they take memory. */
 private const val MAX_HEADER_BYTES = 65_536
 
 /** Listens for callers at [address] and returns the listening channel. */
@@ -84,14 +85,13 @@
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
         val reply = answer(request)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status, bufferOf(reply.content))
+        val content = Unpooled.wrappedBuffer(reply.content)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status, content)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, reply.content.size)
         context.writeAndFlush(response)
     }
 
-    private fun bufferOf(content: ByteArray) = io.netty.buffer.Unpooled.wrappedBuffer(content)
-
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         context.close()
     }
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.contentOrNull
@@ -24,6 +25,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
+import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
 
 private const val EVENT_MILLIS = 10L
@@ -89,7 +91,7 @@
                     put(
                         "adapters",
                         buildJsonArray {
-                            adapters.forEach { add(kotlinx.serialization.json.JsonPrimitive(it)) }
+                            adapters.forEach { add(JsonPrimitive(it)) }
                         },
                     )
                 },
@@ -140,13 +142,15 @@
         return isReady && ('/' !in wanted || wanted.substringAfter('/') in adapters)
     }
 
+    private fun lacks(model: String?): Boolean = isEngine && model != null && !holds(model)
+
     private suspend fun serve(call: ApplicationCall) {
         val attemptId = call.request.header("Attempt-Id").orEmpty()
         val model = call.request.header("Model")
         call.response.header("Attempt-Id", attemptId)
         call.response.header("Instance-Load", "1,0,$SLOTS")
         val isMeant = call.request.header("Target-Instance").let { it == null || it == targetId }
-        if (!isMeant || (isEngine && model != null && !holds(model))) {
+        if (!isMeant || lacks(model)) {
             call.response.header("Instance-Id", targetId)
             return call.respondText("", status = HttpStatusCode.fromValue(STATUS_MISDIRECTED))
         }
@@ -161,7 +165,7 @@
             for (number in first..eventCount) {
                 if (cutAfterEvents?.let { number > it } == true) {
                     cutAfterEvents = null
-                    throw java.io.IOException("the stream is cut on purpose")
+                    throw IOException("the stream is cut on purpose")
                 }
                 writeStringUtf8("id: $number\ndata: part $number\n\n")
                 flush()
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedStoreStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedStoreStandin.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingContext
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import kotlinx.coroutines.delay
@@ -27,7 +28,6 @@
 
 private const val POLL_MILLIS = 10L
 
-/** Part of a second after which a member of a group that says nothing is dropped. */
 private const val NANOS_PER_MILLI = 1_000_000L
 
 private class StoredRecord(val key: String, val value: ByteArray?)
@@ -81,7 +81,7 @@
         get("/api/log-owners") { answer { call.respondJson(owners()) } }
     }
 
-    private suspend fun io.ktor.server.routing.RoutingContext.answer(action: suspend () -> Unit) {
+    private suspend fun RoutingContext.answer(action: suspend () -> Unit) {
         if (isDown) call.respondText("", status = HttpStatusCode.ServiceUnavailable) else action()
     }
 
