--- a/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
@@ -121,7 +121,8 @@
     fun `a member below its limit is refused no more often than by one bucket, however its requests are spread`() {
         val random = Random(20_261_204)
         repeat(10) { round ->
-            val arrivals = arrivals(random, perSecond = 20.0, 30_000) { if (it.nextDouble() < 0.5) 0 else it.nextInt(8) }
+            val vmOf: (Random) -> Int = { if (it.nextDouble() < 0.5) 0 else it.nextInt(8) }
+            val arrivals = arrivals(random, perSecond = 20.0, 30_000, vmOf)
             val fleet = AllotmentFleet(vmCount = 8)
             fleet.play(arrivals, 31_000)
             val needed = refusalsOfOneBucket(arrivals)
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -1,9 +1,10 @@
 package org.banyanturn.entry.observe
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
-/** Counters of this process. */
+/** Counters and latency histograms of this process. */
 internal class EntryMetrics(val registry: PrometheusRegistry = PrometheusRegistry()) {
     /** Requests that callers sent. */
     val requests: Counter = counter("banyanturn_requests", "Requests that callers sent")
@@ -17,11 +18,40 @@
         .labelNames("reason")
         .register(registry)
 
+    private val durations: Histogram =
+        histogram("banyanturn_request_duration_seconds", "Time from a request's head to the end of its answer")
+
+    private val firstParts: Histogram =
+        histogram("banyanturn_target_first_part_seconds", "Time until the first part of a target's answer")
+
+    /** Notes that a request was answered by its target after [durationMillis]. */
+    fun answered(durationMillis: Long): Unit = durations.observe(durationMillis / MILLIS_PER_SECOND)
+
+    /** Notes that the first part of a target's answer came after [firstPartMillis]. */
+    fun firstPart(firstPartMillis: Long): Unit = firstParts.observe(firstPartMillis / MILLIS_PER_SECOND)
+
     /** Counts a refusal for [reason]. */
     fun refused(reason: String) {
         refusals.labelValues(reason).inc()
     }
 
+    private fun histogram(name: String, help: String): Histogram =
+        Histogram.builder()
+            .name(name)
+            .help(help)
+            .classicOnly()
+            .classicExponentialUpperBounds(LEAST_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
+            .register(registry)
+
     private fun counter(name: String, help: String): Counter =
         Counter.builder().name(name).help(help).register(registry)
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Bounds double from 25 ms to 25.6 s, as wide as callers' latency targets and time limits. */
+        const val LEAST_BOUND_SECONDS = 0.025
+        const val BOUND_FACTOR = 2.0
+        const val BOUND_COUNT = 11
+    }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -85,6 +85,7 @@
         head = response
         said = headers
         firstPartMillis = elapsedMillis()
+        environment.metrics.firstPart(firstPartMillis)
         headers.load?.let {
             state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
         }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -262,11 +262,13 @@
         val whole = answer ?: return
         answer = null
         trail.answered(whole.statusCode, life.attempts)
+        environment.metrics.answered(now() - exchange.arrivedAtMillis)
         exchange.answer(whole.statusCode, whole.callerHeaders(), whole.body)
     }
 
     private fun finishStream() {
         trail.answered(STATUS_OK, life.attempts)
+        environment.metrics.answered(now() - exchange.arrivedAtMillis)
         exchange.finish()
     }
 
