--- /dev/null
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -0,0 +1,159 @@
+package org.banyanturn.core.placement
+
+import org.banyanturn.core.AdapterId
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.ModelSpec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+private const val LEARNT_MILLIS = 30_000L
+
+private fun model(name: String, adapters: Int = 0): ModelSpec =
+    ModelSpec(ModelId(name), 60.0, loadMillis = 6_000, diskLoadMillis = 800, adapters, adapterMegabytes = 0.1)
+
+/** Engines with room for two models each. */
+private val spec = EngineSpec(
+    slots = 48,
+    models = ((0..9).map { model("m$it") } + model("wide", adapters = 20)).associateBy { it.modelId },
+    weightsMegabytes = 130.0,
+    adapterSlots = 8,
+    loadsPerSecond = 3.0,
+)
+
+private fun engine(id: String, vararg held: String, onDisk: Set<String> = emptySet()): PlannedEngine =
+    PlannedEngine(TargetId(id), held.associate { ModelId(it) to 0 }, onDisk.mapTo(HashSet(), ::ModelId))
+
+class ModelPlannerTest {
+    private val planner = ModelPlanner()
+
+    /** Lets [perSecond] requests for [name] arrive for the time until [LEARNT_MILLIS]. */
+    private fun demand(name: String, perSecond: Double) {
+        var dueRequests = 0.0
+        for (nowMillis in 0L..LEARNT_MILLIS step 100) {
+            dueRequests += perSecond / 10
+            if (dueRequests >= 1) {
+                planner.noteDemand(ModelId(name), null, dueRequests.toInt(), nowMillis)
+                dueRequests -= dueRequests.toInt()
+            }
+        }
+    }
+
+    private fun next(vararg engines: PlannedEngine): LoadPlan? =
+        planner.nextPlanOrNull(engines.toList(), spec, LEARNT_MILLIS)
+
+    private fun miss(name: String) = planner.noteMiss(ModelId(name), LEARNT_MILLIS)
+
+    @Test
+    fun `of the models that wait the one that gains most is loaded, not the one that was asked for first`() {
+        demand("m0", 0.1)
+        demand("m1", 2.0)
+        listOf("m0", "m1").forEach(::miss)
+        assertEquals(ModelId("m1"), next(engine("i-1", "m5", "m6"))?.modelId)
+    }
+
+    @Test
+    fun `spare copies of a busy model make room before the only copy of one that is asked for`() {
+        demand("m0", 0.5)
+        demand("m5", 5.0)
+        demand("m6", 1.0)
+        miss("m0")
+        val plan = next(engine("i-1", "m5", "m6"), engine("i-2", "m5", "m7"), engine("i-3", "m5", "m8"))
+        assertFalse(ModelId("m6") in checkNotNull(plan) { "a load is due" }.victims)
+    }
+
+    @Test
+    fun `the only copies of what is asked for stay while what is missing is asked for less`() {
+        demand("m0", 0.5)
+        demand("m5", 3.0)
+        demand("m6", 3.0)
+        miss("m0")
+        assertNull(next(engine("i-1", "m5", "m6")))
+    }
+
+    @Test
+    fun `the only copy of a model with adapters stays though nobody asks for it now`() {
+        demand("m0", 1.0)
+        demand("m5", 3.0)
+        miss("m0")
+        assertNull(next(engine("i-1", "m5", "wide")))
+    }
+
+    @Test
+    fun `a model goes where it lies on disk, though more must make room there`() {
+        demand("m0", 1.0)
+        miss("m0")
+        val plan = next(engine("i-1", "m5"), engine("i-2", "m6", "m7", onDisk = setOf("m0")))
+        assertEquals(TargetId("i-2"), plan?.targetId)
+        assertTrue(checkNotNull(plan) { "a load is due" }.isFromDisk)
+    }
+
+    @Test
+    fun `room that stands empty is filled, and nothing makes room for what nobody waits for`() {
+        assertNotNull(next(engine("i-1", "m5")))
+        assertNull(next(engine("i-1", "m5", "m6")))
+    }
+
+    @Test
+    fun `no more models are loaded at once than the store serves well, unless one is asked for very often`() {
+        val engines = (1..9).map { engine("i-$it", "m9") }.toTypedArray()
+        val settings = ModelPlannerSettings()
+        (0 until settings.maxLoads).forEach { index ->
+            miss("m$index")
+            planner.started(checkNotNull(next(*engines)) { "load $index is due" }, 6_000, LEARNT_MILLIS)
+        }
+        miss("m7")
+        assertNull(next(*engines))
+        demand("m7", 5.0)
+        assertEquals(ModelId("m7"), next(*engines)?.modelId)
+    }
+
+    @Test
+    fun `a model whose adapters need more places than its engines have gets a further copy`() {
+        for (nowMillis in 0L..LEARNT_MILLIS step 100) {
+            planner.noteDemand(ModelId("wide"), AdapterId("a" + nowMillis / 100 % 20), 1, nowMillis)
+        }
+        val plan = next(engine("i-1", "wide", "m5"), engine("i-2", "m6", "m7"))
+        assertEquals(ModelId("wide"), plan?.modelId)
+    }
+
+    @Test
+    fun `a model that was just loaded stays for a while`() {
+        demand("m0", 0.2)
+        demand("m1", 0.9)
+        miss("m0")
+        val first = checkNotNull(next(engine("i-1", "m5"))) { "a load is due" }
+        planner.started(first, 6_000, LEARNT_MILLIS)
+        planner.ended(first.modelId, wasDeclined = false, LEARNT_MILLIS)
+        miss("m1")
+        val plan = checkNotNull(next(engine("i-1", "m5", first.modelId.value))) { "a load is due" }
+        assertFalse(first.modelId in plan.victims)
+    }
+
+    @Test
+    fun `a model that falls silent loses its demand within seconds, one that is asked for now and then keeps it`() {
+        demand("m5", 10.0)
+        demand("m0", 0.4)
+        assertTrue(planner.demandPerSecond(ModelId("m5"), LEARNT_MILLIS) > 8)
+        assertTrue(planner.demandPerSecond(ModelId("m5"), LEARNT_MILLIS + 4_500) < 0.5)
+        assertTrue(planner.demandPerSecond(ModelId("m0"), LEARNT_MILLIS + 4_500) > 0.2)
+    }
+
+    @Test
+    fun `a load whose turn has not come is promised for when a running one ends`() {
+        val engines = (1..9).map { engine("i-$it", "m9") }
+        repeat(ModelPlannerSettings().maxLoads) { index ->
+            miss("m$index")
+            val plan = checkNotNull(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)) { "load $index is due" }
+            planner.started(plan, 6_000, LEARNT_MILLIS)
+        }
+        miss("m8")
+        val inMillis = planner.expectedMillisOrNull(ModelId("m8"), engines, spec, LEARNT_MILLIS)
+        assertTrue(checkNotNull(inMillis) { "m8 waits" } in 12_000..14_000, "$inMillis")
+    }
+}
--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
@@ -15,12 +15,14 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.time.Duration
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 private const val HOST = "127.0.0.1"
 private const val WAIT_SECONDS = 20L
+private const val ANSWER_SECONDS = 2L
 
 /** The operators' document; `KEYS` stands for the keys of the one member. */
 private const val DOCUMENT = """
@@ -100,7 +102,9 @@
 
     private fun ready(): Int =
         try {
-            val request = HttpRequest.newBuilder(URI("http://$HOST:$readinessPort/api/ready")).build()
+            val request = HttpRequest.newBuilder(URI("http://$HOST:$readinessPort/api/ready"))
+                .timeout(Duration.ofSeconds(ANSWER_SECONDS))
+                .build()
             client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode()
         } catch (_: IOException) {
             0
@@ -108,6 +112,7 @@
 
     private fun send(path: String, vararg headers: String, body: String = "{}"): HttpResponse<String> {
         val request = HttpRequest.newBuilder(URI("http://$HOST:$callerPort$path"))
+            .timeout(Duration.ofSeconds(WAIT_SECONDS))
             .POST(HttpRequest.BodyPublishers.ofString(body))
         headers.toList().chunked(2).forEach { (name, value) -> request.header(name, value) }
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString())
--- /dev/null
+++ b/entry/src/test/kotlin/org/banyanturn/entry/PeerDatagramTest.kt
@@ -0,0 +1,43 @@
+package org.banyanturn.entry
+
+import org.banyanturn.entry.peers.AllotmentReportMessage
+import org.banyanturn.entry.peers.CopyWantMessage
+import org.banyanturn.entry.peers.PeerDatagram
+import org.banyanturn.entry.peers.decodePeerDatagramOrNull
+import org.banyanturn.entry.peers.encode
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class PeerDatagramTest {
+    private val datagram = PeerDatagram(
+        vmId = "vm-a",
+        incarnation = 17,
+        catalogVersion = 3,
+        reports = listOf(AllotmentReportMessage("growers", 4, 10.5, 2.0, 7.0, 1.5)),
+        wants = listOf(CopyWantMessage(9, "i-1", "m0", victims = listOf("m1"))),
+    )
+
+    @Test
+    fun `a datagram is read as it was written and stays small`() {
+        val bytes = datagram.encode()
+        val read = checkNotNull(decodePeerDatagramOrNull(bytes)) { "the datagram is whole" }
+        assertEquals("vm-a", read.vmId)
+        assertEquals(1.5, read.reports.single().neededCost)
+        assertEquals(listOf("m1"), read.wants.single().victims)
+        assertTrue(bytes.size < 120, "${bytes.size} bytes")
+        assertTrue(PeerDatagram("vm-a", 17, 3).encode().size < 20)
+    }
+
+    @Test
+    fun `broken datagrams are dropped, not thrown`() {
+        val bytes = datagram.encode()
+        val random = Random(20_261_204)
+        repeat(2_000) {
+            val broken = bytes.copyOf(random.nextInt(bytes.size + 1))
+            if (broken.isNotEmpty()) broken[random.nextInt(broken.size)] = random.nextInt().toByte()
+            decodePeerDatagramOrNull(broken)
+        }
+    }
+}
