--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -76,6 +76,12 @@
     /** An attempt at a target failed. */
     ATTEMPT_FAILED(2003, Level.WARN, "an attempt at a target failed"),
 
+    /** The caller closed the connection. */
+    CALLER_GONE(2005, Level.INFO, "the caller has gone; the attempt is cancelled"),
+
+    /** A handler failed with an exception that it does not expect. */
+    REQUEST_FAILED(2006, Level.ERROR, "a request failed with an internal error"),
+
     /** A request waits for a target or a copy. */
     REQUEST_WAITS(2007, Level.INFO, "a request waits"),
 
@@ -91,12 +97,6 @@
     /** A stream that had begun was broken off. */
     STREAM_ABORTED(2011, Level.WARN, "a stream was broken off"),
 
-    /** The caller closed the connection. */
-    CALLER_GONE(2005, Level.INFO, "the caller has gone; the attempt is cancelled"),
-
-    /** A handler failed with an exception that it does not expect. */
-    REQUEST_FAILED(2006, Level.ERROR, "a request failed with an internal error"),
-
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
@@ -115,20 +115,20 @@
     /** A copy was unloaded. */
     UNLOAD_FINISHED(3006, Level.INFO, "a copy was unloaded"),
 
+    /** A report of an engine could not be read. */
+    REPORT_FAILED(3007, Level.WARN, "an engine's report can't be read"),
+
     /** A copy was asked for at its engine's owner. */
     COPY_WANTED(3008, Level.INFO, "a copy was asked for"),
 
     /** An engine's owner declined to load a copy. */
     COPY_DECLINED(3009, Level.INFO, "a copy won't be loaded there now"),
 
-    /** An engine was chosen for a model that is asked for. */
-    LOAD_PLANNED(3011, Level.INFO, "an engine was chosen for a model"),
-
     /** An order to an engine was answered, or got no answer. */
     ORDER_ANSWERED(3010, Level.INFO, "an order to an engine has ended"),
 
-    /** A report of an engine could not be read. */
-    REPORT_FAILED(3007, Level.WARN, "an engine's report can't be read"),
+    /** An engine was chosen for a model that is asked for. */
+    LOAD_PLANNED(3011, Level.INFO, "an engine was chosen for a model"),
 }
 
 /** A named value that belongs to a logged event. */
