Take free ports for the entry's tests

Cause: the port for words between VMs was drawn from those that the system hands out, so that a test could find it taken once in a while. Change: three ports in a row are looked for below that range.

--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
@@ -23,6 +23,8 @@
 private const val HOST = "127.0.0.1"
 private const val WAIT_SECONDS = 20L
 private const val ANSWER_SECONDS = 2L
+private const val LEAST_PORT = 10_000
+private const val LAST_PORT = 32_000
 
 /** The operators' document; `KEYS` stands for the keys of the one member. */
 private const val DOCUMENT = """
@@ -55,11 +57,17 @@
 
     private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
+    /** Returns the first of three ports in a row that nothing listens on, below those that the system hands out. */
+    private fun freePortRange(): Int =
+        generateSequence { Random.nextInt(LEAST_PORT, LAST_PORT) }.first { port ->
+            (port..port + 2).all { runCatching { ServerSocket(it).close() }.isSuccess }
+        }
+
     private fun document(version: Int = 1, keys: String = "\"k1\"", rate: Int = 100_000): String =
         DOCUMENT.replace("VERSION", "$version").replace("KEYS", keys).replace("RATE", "$rate")
 
     private fun startEntry() {
-        val peerPort = Random.nextInt(20_000, 50_000)
+        val peerPort = freePortRange()
         val settings = """
             {"node": "front-a-1", "ip": "$HOST", "zone": "zone-a", "bootstrap": true,
              "listen": {"front": "$HOST:$callerPort", "ready": "$HOST:$readinessPort"},
