--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -102,4 +102,7 @@
         null
     } catch (_: IllegalArgumentException) {
         null
+    } catch (_: IndexOutOfBoundsException) {
+        // The library checks no length that a broken datagram names.
+        null
     }
