Answer what waits when a VM stops, instead of closing its connection

Change: a VM that stops refuses what waits for a target at once, as not run, with a time to return; at the limit each request that is left gets its final answer by the request machine, and only a stream that has begun is broken off.

--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -296,6 +296,8 @@
         scope.launch { ownership.leave() }
     }
 
+    override fun refuseWaiting(): Unit = waitingRoom.giveUpAll()
+
     override fun stopAccepting() {
         callerSocket.close()
         connections.toList().forEach { it.closeIfIdle() }
--- a/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
@@ -14,6 +14,9 @@
     /** Says that this VM leaves. */
     fun announceLeaving()
 
+    /** Refuses the requests that wait for a target, so that they come back to another VM. */
+    fun refuseWaiting()
+
     /** Closes the listening socket and idle connections. */
     fun stopAccepting()
 
@@ -51,7 +54,15 @@
 
     /** Does what is due; called several times a second. */
     fun tick() {
-        if (machine.phase != DrainPhase.SERVING) take(machine.tick(clock.nowMillis()))
+        if (machine.phase == DrainPhase.SERVING) return
+        actions.refuseWaiting()
+        take(machine.tick(clock.nowMillis()))
+    }
+
+    private fun end(requestId: RequestId) {
+        val exchange = open[requestId] ?: return
+        exchange.listener?.onShutdownLimit()
+        exchange.abort()
     }
 
     private fun take(step: DrainStep) {
@@ -68,7 +79,7 @@
             is DrainDecision.HandOver -> Unit
 
             is DrainDecision.EndRequests -> {
-                decision.requestIds.forEach { open[it]?.abort() }
+                decision.requestIds.forEach(::end)
                 actions.exit()
             }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
@@ -22,6 +22,9 @@
     /** The caller closed its connection before it had the whole answer. */
     fun onCallerGone()
 
+    /** The process ends; what has no final answer yet gets one now. */
+    fun onShutdownLimit()
+
     /** The connection can take more of the answer, or no more for now. */
     fun onWritable(isWritable: Boolean)
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -307,6 +307,8 @@
         handle(RequestEvent.CallerGone)
     }
 
+    override fun onShutdownLimit(): Unit = handle(RequestEvent.ShutdownLimitReached)
+
     override fun onWritable(isWritable: Boolean) {
         current?.setReading(isWritable)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -67,6 +67,11 @@
         }
     }
 
+    /** Ends all waits. */
+    fun giveUpAll() {
+        requests.values.map { it.need }.forEach(::giveUp)
+    }
+
     /** Ends the waits that are over, and looks at the others now and then; called every few milliseconds. */
     fun expire() {
         if (requests.isEmpty()) return
--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
@@ -1,6 +1,7 @@
 package org.banyanturn.entry
 
 import com.github.michaelbull.result.get
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.banyanturn.platform.hosted.parseVmBoot
 import org.banyanturn.standin.hosted.HostedPlatformStandin
@@ -23,6 +24,7 @@
 private const val HOST = "127.0.0.1"
 private const val WAIT_SECONDS = 20L
 private const val ANSWER_SECONDS = 2L
+private const val WAITING_MILLIS = 300L
 private const val LEAST_PORT = 10_000
 private const val LAST_PORT = 32_000
 
@@ -211,6 +213,24 @@
         assertEquals(401, status("k3"))
     }
 
+    @Test
+    fun `a request that waits for a model when the VM stops is told that it has not run`() = runBlocking {
+        platform.start()
+        platform.declare(hostedDocument())
+        platform.startEngine("i-1", "llm", listOf("m0"), loadMillis = 60_000)
+        startEntry()
+        awaitTrue("the VM is ready") { ready() == 200 }
+        val waiting = CompletableFuture.supplyAsync {
+            send("/notes/1", "Authorization", "Bearer k1", "Attempt-Id", "n-1", "Model", "m1")
+        }
+        delay(WAITING_MILLIS)
+        assertFalse(waiting.isDone, "the request waits")
+        process?.requestStop()
+        val refused = waiting.get(WAIT_SECONDS, TimeUnit.SECONDS)
+        assertEquals(503, refused.statusCode())
+        assertTrue("not-run" in refused.body())
+    }
+
     @Test
     fun `a VM that knows no catalog is not ready and answers 503 with a time to return`() = runBlocking {
         platform.start()
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -44,9 +44,9 @@
         store.write("keyed.op", "config", document)
     }
 
-    /** Starts an engine of [service] that holds [models], and lists it. */
-    public suspend fun startEngine(id: String, service: String, models: List<String>) {
-        startTarget(id, service, HostedTargetStandin(id, isEngine = true, models, seenRuns))
+    /** Starts an engine of [service] that holds [models] and loads others in [loadMillis], and lists it. */
+    public suspend fun startEngine(id: String, service: String, models: List<String>, loadMillis: Long = 200) {
+        startTarget(id, service, HostedTargetStandin(id, isEngine = true, models, seenRuns, loadMillis = loadMillis))
     }
 
     /** Starts a plain target of [service] and lists it. */
