Load models from the engines' own hosts, and leave most engines free for it

Engines' entries and reports name the weights that their hosts keep (`at_hand`); the adapter did not read it. A trial on a scratch copy that printed raw entries showed 9 models on each engine's disk at the start, besides the 2 that it holds. The owner also promised 6 s for each load, whatever its source.

Change - platform: `at_hand` is decoded into HostWeights, for entries and reports, and `warm_s` into memoryLoadMillis. - planner: the source of each load; what is not in use makes room first; a model waits for the engine whose host keeps it unless the store is sooner; loads from the store hold a quarter of the engines at most once requests come; what no host keeps is fetched before it is asked for; residence 1.5 s in place of 8 s; a turn's wait is promised from hosts too. - steward: promises by the source of the weights, and room that has to be made. - requests that wait for a copy which is promised later than they can wait are refused at once; a model that is overdue is asked for again, where its waiting requests were refused before, up to 10 s after they came. - the engine's report is asked for every 120 ms while it loads (was 300).

Tests: planner (unused first, turns, waiting for a host, bound on store loads, fetched beforehand), steward's promise, codec. `nothing makes room for what nobody waits for` now says that hosts keep all models: what no host keeps does make room now. The test of the store's full speed plays 40 engines, since of 9 only two may load.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -3,11 +3,13 @@
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.serving.EngineSpec
 import org.banyanturn.core.serving.HeldModel
+import org.banyanturn.core.serving.HostWeights
 
 /**
  * Times by which an engine's copies are managed.
  *
  * @property adapterLoadMillis how long an adapter takes to load.
+ * @property makeRoomMillis how long it takes on average until a model has finished its runs and is gone.
  * @property modelIdleMillis how long a model must be unused before it may make room for another.
  * @property adapterIdleMillis the same for an adapter.
  * @property conflictMillis wait before an order is sent again that met another one.
@@ -17,6 +19,7 @@
  */
 public data class CopyStewardSettings(
     val adapterLoadMillis: Long = 12,
+    val makeRoomMillis: Long = 500,
     val modelIdleMillis: Long = 3_000,
     val adapterIdleMillis: Long = 600,
     val conflictMillis: Long = 8,
@@ -59,6 +62,7 @@
     private var nextSendMillis = Long.MIN_VALUE
     private var isUncertain = false
     private var orderedAtMillis = Long.MIN_VALUE / 2
+    private var hostWeights = HostWeights()
 
     /** Whether the engine's own report is needed to go on. */
     public val needsReport: Boolean
@@ -82,7 +86,9 @@
         isCarryingOutOrder: Boolean,
         heldModels: Map<ModelId, HeldModel>,
         nowMillis: Long,
+        hostWeights: HostWeights = HostWeights(),
     ) {
+        this.hostWeights = hostWeights
         if (!isKnown || isOtherLife(bornEpochMillis)) {
             if (isCarryingOutOrder) return forgetLife()
             return startLife(bornEpochMillis, ordersAccepted, heldModels, nowMillis)
@@ -104,7 +110,13 @@
     }
 
     /** Takes in the copies that the engine's entry lists; it may be older than the latest orders and counts none. */
-    public fun onEntry(bornEpochMillis: Long?, heldModels: Map<ModelId, HeldModel>, nowMillis: Long) {
+    public fun onEntry(
+        bornEpochMillis: Long?,
+        heldModels: Map<ModelId, HeldModel>,
+        nowMillis: Long,
+        hostWeights: HostWeights = HostWeights(),
+    ) {
+        this.hostWeights = hostWeights
         if (isKnown && isOtherLife(bornEpochMillis)) return forgetLife()
         if (isKnown && outstanding == null && hasOutlastedReports(nowMillis)) adoptHeld(namesOf(heldModels), nowMillis)
     }
@@ -197,7 +209,16 @@
     }
 
     private fun expectedMillis(copy: CopyName): Long =
-        if (copy.isAdapter) settings.adapterLoadMillis * 2 else spec.models.getValue(copy.modelId).loadMillis
+        when {
+            copy.isAdapter -> settings.adapterLoadMillis * 2
+            hasRoom(copy) -> loadMillis(copy)
+            else -> loadMillis(copy) + settings.makeRoomMillis
+        }
+
+    private fun loadMillis(copy: CopyName): Long {
+        if (copy.isAdapter) return settings.adapterLoadMillis
+        return spec.models.getValue(copy.modelId).loadMillisFrom(hostWeights.sourceOf(copy.modelId))
+    }
 
     /** Returns the order to send now, or `null`; its answer must be told by [onOrderAnswered]. */
     public fun nextOrderOrNull(nowMillis: Long): CopyOrder? {
@@ -330,14 +351,7 @@
         val copy = copies.getOrPut(order.copy) { StewardedCopy(CopyPhase.LOADING, nowMillis) }
         copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
         copy.usedAtMillis = nowMillis
-        val loadMillis = if (order.copy.isAdapter) {
-            settings.adapterLoadMillis
-        } else {
-            spec.models.getValue(
-                order.copy.modelId,
-            ).loadMillis
-        }
-        copy.readyAtMillis = nowMillis + loadMillis
+        copy.readyAtMillis = nowMillis + loadMillis(order.copy)
         nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
@@ -39,9 +39,14 @@
     private var decayedCount = 0.0
     private var updatedMillis = 0L
 
+    /** When the latest request arrived. */
+    var latestMillis = Long.MIN_VALUE / 2
+        private set
+
     fun add(adapterId: AdapterId?, requests: Int, nowMillis: Long) {
         decay(nowMillis)
         decayedCount += requests
+        if (requests > 0) latestMillis = nowMillis
         repeat(requests) { recentMillis.addLast(nowMillis) }
         if (adapterId != null) adapterSeenMillis[adapterId] = nowMillis
     }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -4,49 +4,56 @@
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.ModelSpec
+import org.banyanturn.core.serving.WeightsSource
 import kotlin.math.ceil
 
 /**
  * How copies of models are planned; values are in requests a second.
  *
- * @property maxLoads model loads at once: one more than the weight store gives its full speed, since some of them wait
- * for an unload; an engine that loads a model takes no adapters meanwhile.
+ * @property maxLoads loads from the weight store at once: as many as it gives its full speed.
+ * @property loadingFraction part of the engines that may load from the store while requests come: such a load takes
+ * seconds, in which the engine can't load what its own host keeps.
  * @property spareValue part of a model's demand that a copy beyond those it needs is worth.
  * @property spreadValue part of a model's demand that lacks a copy, counted against models that lack all.
  * @property runSeconds how long a request holds its slot.
  * @property slotsInUse part of an engine's slots up to which requests run at a good speed.
- * @property reloadLoss part of a model's demand that is lost while its engine loads it from disk again, which keeps the
- * weights of all that it has held.
+ * @property reloadLoss part of a model's demand that is lost until its engine has loaded it again from its host.
  * @property gainFactor by how much more a model must be asked for than what makes room for it.
- * @property diskGainFactor the same where the model comes from the engine's own disk.
+ * @property hostGainFactor the same where the weights come from the engine's own host.
+ * @property waitWeight how much a second counts until a load ends, against a request a second that is lost.
+ * @property useMillis how long a model counts as in use after a request or a load.
  * @property adapterModelDemand demand that a model with adapters is taken to have at least, since adapters are made
  * for models that are used.
  * @property copiedModelDemand demand for each copy of a model that has several, while nothing else is known: what is
  * used much was given more copies.
- * @property urgentGain gain from which a load starts beyond [maxLoads], up to [urgentLoads] more.
+ * @property urgentGain gain from which a load from the store starts beyond these, up to [urgentLoads] more.
  * @property missWeight how much each request that found no copy adds to the demand for it, as a part of the demand.
- * @property residenceMillis how long a model stays at least that was loaded.
+ * @property residenceMillis how long a model stays at least that was loaded, so that what waits for it is sent.
  * @property wantedMillis how long a model counts as wanted after a request that found no copy.
- * @property makeRoomMillis how long it takes on average until what makes room has finished its runs and is gone.
+ * @property makeRoomMillis how long it takes on average until a model in use has finished its runs and is gone.
  * @property declinedMillis how long an engine is passed over that did not take a load.
  */
 public data class ModelPlannerSettings(
     val demand: ModelDemandSettings = ModelDemandSettings(),
-    val maxLoads: Int = 5,
+    val maxLoads: Int = 4,
+    val loadingFraction: Double = 0.25,
     val spareValue: Double = 0.01,
     val spreadValue: Double = 0.5,
     val runSeconds: Double = 2.0,
     val slotsInUse: Double = 0.5,
     val reloadLoss: Double = 0.6,
     val gainFactor: Double = 1.3,
-    val diskGainFactor: Double = 1.1,
+    val hostGainFactor: Double = 1.1,
+    val waitWeight: Double = 0.1,
+    val useMillis: Long = 2_000,
     val adapterModelDemand: Double = 8.0,
     val copiedModelDemand: Double = 2.0,
     val urgentGain: Double = 1.5,
     val urgentLoads: Int = 2,
     val missWeight: Double = 0.35,
-    val residenceMillis: Long = 8_000,
+    val residenceMillis: Long = 1_500,
     val wantedMillis: Long = 6_000,
     val makeRoomMillis: Long = 1_000,
     val declinedMillis: Long = 1_000,
@@ -56,25 +63,29 @@
  * An engine as the planner sees it.
  *
  * @property held the models that it holds, each with the number of its adapters there.
- * @property onDisk models that it has held before and can load from its own disk.
+ * @property hostWeights the weights that its host keeps, which load fast and take nothing of the store.
  */
 public data class PlannedEngine(
     val targetId: TargetId,
     val held: Map<ModelId, Int>,
-    val onDisk: Set<ModelId> = emptySet(),
+    val hostWeights: HostWeights = HostWeights(),
 )
 
 /**
  * Where a model is to be loaded, and which models make room for it there.
  *
- * @property isFromDisk whether the engine loads it from its own disk, which is fast and takes nothing of the store.
+ * @property source where the engine takes the weights from.
  */
 public data class LoadPlan(
     val targetId: TargetId,
     val modelId: ModelId,
     val victims: List<ModelId>,
-    val isFromDisk: Boolean = false,
-)
+    val source: WeightsSource = WeightsSource.STORE,
+) {
+    /** Whether the load takes a part of what the weight store can do. */
+    val isFromStore: Boolean
+        get() = source == WeightsSource.STORE
+}
 
 /** A load that was planned and has not ended. */
 private class PlannedLoad(val plan: LoadPlan, val startedAtMillis: Long, val expectedMillis: Long)
@@ -87,6 +98,11 @@
  * it: a model needs as many copies as its load and its adapters take up, copies beyond that are worth next to nothing,
  * and the room of what is worth least by its size goes to the model that gains most. Of the models that wait for a load
  * the one that gains most goes first, not the one that was asked for first.
+ *
+ * A load from the store takes many times as long as one from a host, and holds its engine all the while. So a model
+ * waits for an engine whose host keeps it unless the store is sooner, and what no host keeps is fetched before it is
+ * asked for. Rare models take turns in the room of an engine whose host keeps their weights: what nobody uses at the moment makes
+ * room first, since a model in use goes only when its runs have ended, and the engine takes no other order until then.
  */
 public class ModelPlanner(private val settings: ModelPlannerSettings = ModelPlannerSettings()) {
     private val demands = HashMap<ModelId, ModelDemand>()
@@ -139,12 +155,19 @@
         val waiting = outlook.candidates().sortedByDescending { outlook.gainOf(it) / it.weightsMegabytes }
         val rank = waiting.indexOfFirst { it.modelId == modelId }
         if (rank < 0 || !outlook.mayEverLoad(waiting[rank])) return null
-        val ends = loads.values.filterNot { it.plan.isFromDisk }
+        val hostMillis = outlook.hostMillisOrNull(waiting[rank], rank)
+        val storeMillis = storeMillisOrNull(waiting[rank], rank, outlook.maxStoreLoads, nowMillis)
+        return listOfNotNull(hostMillis, storeMillis).minOrNull()
+    }
+
+    /** Returns when the store has the turn of the model that is the [rank]th to wait, counted from 0. */
+    private fun storeMillisOrNull(model: ModelSpec, rank: Int, maxLoads: Int, nowMillis: Long): Long? {
+        val ends = loads.values.filter { it.plan.isFromStore }
             .map { (it.expectedMillis - nowMillis).coerceAtLeast(0) }
             .sorted()
-        val free = settings.maxLoads - ends.size
+        val free = maxLoads - ends.size
         val startMillis = if (rank < free) 0 else ends.getOrNull(rank - free) ?: return null
-        return startMillis + waiting[rank].loadMillis + settings.makeRoomMillis
+        return startMillis + model.loadMillis + settings.makeRoomMillis
     }
 
     /** Notes that the load of [plan] was ordered and is expected in [inMillis]. */
@@ -170,7 +193,7 @@
         }
         declinedUntilMillis.values.removeIf { it <= nowMillis }
         wantedAtMillis.values.removeIf { nowMillis - it > settings.wantedMillis }
-        loadedAtMillis.values.removeIf { nowMillis - it > settings.residenceMillis }
+        loadedAtMillis.values.removeIf { nowMillis - it > maxOf(settings.residenceMillis, settings.useMillis) }
     }
 
     /** What is known at one moment. */
@@ -181,7 +204,7 @@
     ) {
         private val copies = engines.flatMap { it.held.keys }.groupingBy { it }.eachCount()
         private val loadingAt = loads.values.mapTo(HashSet()) { it.plan.targetId }
-        private val storeLoads = loads.values.count { !it.plan.isFromDisk }
+        private val storeLoads = loads.values.count { it.plan.isFromStore }
 
         /** Returns the models that lack a copy: those that requests did not find, and those that need a further one. */
         fun candidates(): List<ModelSpec> =
@@ -229,51 +252,107 @@
             return settings.reloadLoss * maxOf(least, unknown, demand(modelId)) / count
         }
 
-        fun planOrNull(model: ModelSpec): LoadPlan? =
-            options(model)
-                .filter { it.plan.isFromDisk || storeLoads < mostLoads(model) }
-                .filter { it.plan.targetId !in loadingAt && it.plan.targetId !in declinedUntilMillis }
-                .minWithOrNull(compareBy({ !it.plan.isFromDisk }, { it.victimsValue + it.blockedValue }))
-                ?.plan
+        /** Returns the load of [model] that costs least now, or `null` if none is due or its host's turn is awaited. */
+        fun planOrNull(model: ModelSpec): LoadPlan? {
+            val (fromStore, fromHost) = options(model).filter(::isFree).partition { it.plan.isFromStore }
+            val best = fromHost.minByOrNull { costOf(it, model) }
+                ?: fromStore.filter { isSoonerThanHost(it, model) }.minByOrNull { costOf(it, model) }
+            return best?.plan
+        }
+
+        private fun isFree(option: LoadOption): Boolean =
+            option.plan.targetId !in loadingAt && option.plan.targetId !in declinedUntilMillis
+
+        private fun isSoonerThanHost(option: LoadOption, model: ModelSpec): Boolean =
+            storeLoads < mostLoads(model) &&
+                option.readyInMillis < (hostMillisOrNull(model, rank = 0) ?: Long.MAX_VALUE)
+
+        /** Returns the requests a second that are lost by [option], with those that wait or are blocked meanwhile. */
+        private fun costOf(option: LoadOption, model: ModelSpec): Double {
+            val waitSeconds = option.readyInMillis / MILLIS_PER_SECOND
+            return option.victimsValue + (option.blockedValue + gainOf(model)) * waitSeconds * settings.waitWeight
+        }
+
+        /** Returns when an engine whose host keeps the weights of [model] can have loaded it, after [rank] others. */
+        fun hostMillisOrNull(model: ModelSpec, rank: Int): Long? {
+            val soonest = options(model, waitsForArrivals = true)
+                .filterNot { it.plan.isFromStore }
+                .minOfOrNull { freeInMillis(it.plan.targetId) + it.readyInMillis } ?: return null
+            return soonest + rank / engines.size * soonest
+        }
+
+        /** Returns when the engine [targetId] has ended the load that was planned there. */
+        private fun freeInMillis(targetId: TargetId): Long {
+            val load = loads.values.firstOrNull { it.plan.targetId == targetId } ?: return 0
+            return (load.expectedMillis - nowMillis).coerceAtLeast(0)
+        }
 
         private fun mostLoads(model: ModelSpec): Int =
-            settings.maxLoads + if (gainOf(model) >= settings.urgentGain) settings.urgentLoads else 0
+            maxStoreLoads + if (gainOf(model) >= settings.urgentGain) settings.urgentLoads else 0
+
+        /** How many loads from the store may run at once. */
+        val maxStoreLoads: Int =
+            if (startMillis == null) {
+                settings.maxLoads
+            } else {
+                (engines.size * settings.loadingFraction).toInt().coerceIn(1, settings.maxLoads)
+            }
 
         /** Returns whether an engine would make room for [model], now or after what it loads. */
         fun mayEverLoad(model: ModelSpec): Boolean = options(model).isNotEmpty()
 
-        private fun options(model: ModelSpec): List<LoadOption> {
+        /** Returns the loads of [model] that are worth it, also those that wait until what has just come was used. */
+        private fun options(model: ModelSpec, waitsForArrivals: Boolean = false): List<LoadOption> {
             val gain = gainOf(model)
             return engines
                 .filter { model.modelId !in it.held }
-                .mapNotNull { optionOrNull(it, model) }
+                .mapNotNull { optionOrNull(it, model, waitsForArrivals) }
                 .filter { it.plan.victims.isEmpty() || mayDrop(model, gain, it) }
         }
 
-        /** Models that nobody waits for are loaded only where there is room. */
+        /** Models that nobody waits for are loaded only where there is room, but for those that no host keeps. */
         private fun mayDrop(model: ModelSpec, gain: Double, option: LoadOption): Boolean {
             val isWaitedFor = model.modelId in wantedAtMillis || model.modelId in copies
-            return isWaitedFor && gain >= option.victimsValue * gainFactorOf(option.plan)
+            return (isWaitedFor || !isAtAnyHost(model.modelId)) &&
+                gain >= option.victimsValue * gainFactorOf(option.plan)
         }
 
+        private fun isAtAnyHost(modelId: ModelId): Boolean =
+            engines.any { it.hostWeights.sourceOf(modelId) != WeightsSource.STORE }
+
         private fun gainFactorOf(plan: LoadPlan): Double =
-            if (plan.isFromDisk) settings.diskGainFactor else settings.gainFactor
+            if (plan.isFromStore) settings.gainFactor else settings.hostGainFactor
 
-        private fun optionOrNull(engine: PlannedEngine, model: ModelSpec): LoadOption? {
+        private fun optionOrNull(engine: PlannedEngine, model: ModelSpec, waitsForArrivals: Boolean): LoadOption? {
             val used = engine.held.entries.sumOf { (held, adapters) -> megabytesOf(held, adapters) }
             var missing = used + model.weightsMegabytes - spec.weightsMegabytes
             val victims = ArrayList<ModelId>()
             val byValue = engine.held.keys
-                .filterNot { engine.targetId to it in loadedAtMillis }
-                .sortedBy { valueOf(it) / sizeOf(it) }
+                .filter { waitsForArrivals || !hasJustCome(engine.targetId, it) }
+                .sortedWith(compareBy({ isInUse(engine.targetId, it) }, { valueOf(it) / sizeOf(it) }))
             for (candidate in byValue) {
                 if (missing <= 0) break
                 victims += candidate
                 missing -= megabytesOf(candidate, engine.held.getValue(candidate))
             }
             if (missing > 0) return null
-            val plan = LoadPlan(engine.targetId, model.modelId, victims, model.modelId in engine.onDisk)
-            return LoadOption(plan, victims.sumOf(::valueOf), blockedValue(engine, victims))
+            val source = engine.hostWeights.sourceOf(model.modelId)
+            val plan = LoadPlan(engine.targetId, model.modelId, victims, source)
+            val roomMillis = if (victims.any { isInUse(engine.targetId, it) }) settings.makeRoomMillis else 0
+            val readyInMillis = roomMillis + model.loadMillisFrom(source)
+            return LoadOption(plan, victims.sumOf(::valueOf), blockedValue(engine, victims), readyInMillis)
+        }
+
+        private fun hasJustCome(targetId: TargetId, modelId: ModelId): Boolean {
+            val loadedMillis = loadedAtMillis[targetId to modelId] ?: return false
+            return nowMillis - loadedMillis < settings.residenceMillis
+        }
+
+        /** Whether requests for [modelId] may still run at the engine [targetId]. */
+        private fun isInUse(targetId: TargetId, modelId: ModelId): Boolean {
+            val loadedMillis = loadedAtMillis[targetId to modelId] ?: Long.MIN_VALUE / 2
+            val usedMillis = maxOf(loadedMillis, demandOf(modelId).latestMillis)
+            return nowMillis - usedMillis < settings.useMillis
         }
 
         /** Returns the demand for adapters that the engine can't change while it loads a model. */
@@ -291,7 +370,15 @@
     private companion object {
         /** Time beyond twice the expected one after which a load counts as lost. */
         const val STALE_MILLIS = 2_000L
+
+        const val MILLIS_PER_SECOND = 1_000.0
     }
 }
 
-private class LoadOption(val plan: LoadPlan, val victimsValue: Double, val blockedValue: Double)
+/** One way to load a model, with the requests a second that it loses and blocks. */
+private class LoadOption(
+    val plan: LoadPlan,
+    val victimsValue: Double,
+    val blockedValue: Double,
+    val readyInMillis: Long,
+)
--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -79,6 +79,7 @@
  *
  * @property loadMillis how long a load from the weight store takes at full speed.
  * @property diskLoadMillis how long a load from the engine's own disk takes.
+ * @property memoryLoadMillis how long a load from the memory of the engine's host takes.
  * @property adapterCount how many adapters the model has.
  */
 public data class ModelSpec(
@@ -88,7 +89,16 @@
     val diskLoadMillis: Long,
     val adapterCount: Int,
     val adapterMegabytes: Double,
-)
+    val memoryLoadMillis: Long = diskLoadMillis,
+) {
+    /** Returns how long a load takes whose weights come from [source], in milliseconds. */
+    public fun loadMillisFrom(source: WeightsSource): Long =
+        when (source) {
+            WeightsSource.HOST_MEMORY -> memoryLoadMillis
+            WeightsSource.HOST_DISK -> diskLoadMillis
+            WeightsSource.STORE -> loadMillis
+        }
+}
 
 /**
  * The engines of a service.
--- a/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
@@ -14,6 +14,7 @@
  * @property bornEpochMillis when this life of the target began, or `null` if it does not say.
  * @property isDraining whether it takes no new work soon.
  * @property remainingMillis how long a target that is taken away still runs, or `null`.
+ * @property hostWeights the weights that its host keeps.
  */
 public data class TargetEntry(
     val targetId: TargetId,
@@ -25,6 +26,7 @@
     val bornEpochMillis: Long?,
     val remainingMillis: Long?,
     val heldModels: Map<ModelId, HeldModel>,
+    val hostWeights: HostWeights = HostWeights(),
 )
 
 /**
--- a/core/src/test/kotlin/org/banyanturn/core/placement/CopyStewardTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/CopyStewardTest.kt
@@ -4,6 +4,7 @@
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.serving.EngineSpec
 import org.banyanturn.core.serving.HeldModel
+import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.ModelSpec
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -91,6 +92,17 @@
         assertEquals(CopyPromise.Declined(CopyDeclineReason.BUSY), steward.want(copy("m0", "a1"), 30))
     }
 
+    @Test
+    fun `a model whose weights the host keeps is promised soon`() {
+        val steward = CopySteward(spec)
+        val host = HostWeights(inMemory = setOf(ModelId("m2")), onDisk = setOf(ModelId("m1"), ModelId("m2")))
+        steward.onReport(1, ordersAccepted = 4, false, held("m0" to emptyList()), nowMillis = 0, host)
+        assertEquals(CopyPromise.Coming(800), steward.want(copy("m1"), 10))
+        val load = checkNotNull(steward.nextOrderOrNull(10)) { "an order is due" }
+        steward.onOrderAnswered(load, CopyOrderResult.ACCEPTED, 20)
+        assertEquals(CopyPromise.Coming(700), steward.want(copy("m1"), 120))
+    }
+
     @Test
     fun `an order without an answer is sent again as it was, and takes room until the engine says otherwise`() {
         val steward = steward("m0" to emptyList())
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -4,7 +4,9 @@
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.ModelSpec
+import org.banyanturn.core.serving.WeightsSource
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNotNull
@@ -27,7 +29,13 @@
 )
 
 private fun engine(id: String, vararg held: String, onDisk: Set<String> = emptySet()): PlannedEngine =
-    PlannedEngine(TargetId(id), held.associate { ModelId(it) to 0 }, onDisk.mapTo(HashSet(), ::ModelId))
+    PlannedEngine(
+        TargetId(id),
+        held.associate {
+            ModelId(it) to 0
+        },
+        HostWeights(onDisk = onDisk.mapTo(HashSet(), ::ModelId)),
+    )
 
 class ModelPlannerTest {
     private val planner = ModelPlanner()
@@ -90,18 +98,77 @@
         miss("m0")
         val plan = next(engine("i-1", "m5"), engine("i-2", "m6", "m7", onDisk = setOf("m0")))
         assertEquals(TargetId("i-2"), plan?.targetId)
-        assertTrue(checkNotNull(plan) { "a load is due" }.isFromDisk)
+        assertTrue(checkNotNull(plan) { "a load is due" }.source == WeightsSource.HOST_DISK)
+    }
+
+    @Test
+    fun `a model that nobody uses makes room for one on the host's disk before one in use, which blocks the engine`() {
+        demand("m0", 0.3)
+        demand("m5", 0.2)
+        planner.noteDemand(ModelId("m6"), null, 3, LEARNT_MILLIS - 3_000)
+        miss("m0")
+        val plan = next(engine("i-1", "m5", "m6", onDisk = setOf("m0")))
+        assertEquals(listOf(ModelId("m6")), plan?.victims)
+    }
+
+    @Test
+    fun `rare models take turns at an engine whose host keeps them, and a wait for the turn is promised`() {
+        listOf("m0", "m1", "m2").forEach { demand(it, 0.3) }
+        miss("m0")
+        val first = checkNotNull(next(engine("i-1", "m1", "m2", onDisk = setOf("m0")))) { "a load is due" }
+        planner.started(first, 800, LEARNT_MILLIS)
+        planner.ended(first.modelId, wasDeclined = false, LEARNT_MILLIS + 800)
+        val dropped = first.victims.single()
+        val kept = listOf("m1", "m2").map(::ModelId).single { it != dropped }
+        val engines = listOf(engine("i-1", "m0", kept.value, onDisk = setOf("m1", "m2")))
+        val nowMillis = LEARNT_MILLIS + 900
+        planner.noteMiss(dropped, nowMillis)
+        val next = planner.nextPlanOrNull(engines, spec, nowMillis)
+        assertEquals(listOf(kept), next?.victims, "m0 has just come")
+        val inMillis = planner.expectedMillisOrNull(dropped, engines, spec, nowMillis)
+        assertTrue(checkNotNull(inMillis) { "its turn comes" } in 800..2_000, "$inMillis")
+    }
+
+    @Test
+    fun `a model waits for the engine whose host keeps it, since the store takes longer`() {
+        listOf("m0", "m1").forEach { demand(it, 0.3) }
+        listOf("m0", "m1").forEach(::miss)
+        val engines = arrayOf(engine("i-1", "m5", "m6", onDisk = setOf("m0", "m1")), engine("i-2", "m7", "m8"))
+        val first = checkNotNull(next(*engines)) { "a load is due" }
+        planner.started(first, 800, LEARNT_MILLIS)
+        val second = next(*engines)?.modelId
+        assertFalse(
+            second in setOf(ModelId("m0"), ModelId("m1")),
+            "the store takes 6 s, the host's turn comes in 0.8 s",
+        )
+    }
+
+    @Test
+    fun `loads from the store leave most engines free for what their hosts keep`() {
+        val engines = (1..8).map { engine("i-$it", "m9") }.toTypedArray()
+        (0..3).forEach { demand("m$it", 0.3) }
+        (0..3).forEach { miss("m$it") }
+        repeat(2) { planner.started(checkNotNull(next(*engines)) { "load $it is due" }, 6_000, LEARNT_MILLIS) }
+        assertNull(next(*engines))
+    }
+
+    @Test
+    fun `what no host keeps is fetched before it is asked for`() {
+        val kept = (0..8).mapTo(HashSet()) { "m$it" }
+        val plan = planner.nextPlanOrNull(listOf(engine("i-1", "m5", "m6", onDisk = kept)), spec, nowMillis = 0)
+        assertTrue(plan?.modelId in setOf(ModelId("m9"), ModelId("wide")), "$plan")
     }
 
     @Test
     fun `room that stands empty is filled, and nothing makes room for what nobody waits for`() {
-        assertNotNull(next(engine("i-1", "m5")))
-        assertNull(next(engine("i-1", "m5", "m6")))
+        val allModels = spec.models.keys.mapTo(HashSet()) { it.value }
+        assertNotNull(next(engine("i-1", "m5", onDisk = allModels)))
+        assertNull(next(engine("i-1", "m5", "m6", onDisk = allModels)))
     }
 
     @Test
     fun `no more models are loaded at once than the store serves well, unless one is asked for very often`() {
-        val engines = (1..9).map { engine("i-$it", "m9") }.toTypedArray()
+        val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
         val settings = ModelPlannerSettings()
         (0 until settings.maxLoads).forEach { index ->
             miss("m$index")
@@ -146,7 +213,7 @@
 
     @Test
     fun `a load whose turn has not come is promised for when a running one ends`() {
-        val engines = (1..9).map { engine("i-$it", "m9") }
+        val engines = (1..40).map { engine("i-$it", "m9") }
         repeat(ModelPlannerSettings().maxLoads) { index ->
             miss("m$index")
             val plan = checkNotNull(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)) { "load $index is due" }
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -168,6 +168,8 @@
         override fun modelHolders(need: TargetNeed): List<KnownTarget> = placement.modelHolders(need)
 
         override fun giveUp(need: TargetNeed): Unit = waitingRoom.giveUp(need)
+
+        override fun giveUpBefore(copy: CopyName, atMillis: Long): Unit = waitingRoom.giveUpBefore(copy, atMillis)
     }
     private val shutdown = Shutdown(
         DrainSettings(READINESS_LAG_MILLIS, boot.bounds.graceMillis - EXIT_MARGIN_MILLIS, handOverMillis = 0),
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -28,13 +28,16 @@
     val repeatMillis: Long = 40,
     val giveUpMillis: Long = 250,
     val marginMillis: Long = 1_500,
-    val modelMarginMillis: Long = 4_000,
+    val modelMarginMillis: Long = 1_500,
     val declinedMillis: Long = 300,
 )
 
 /** Load of a missing adapter as it is foreseen: two hops to the owner and back, an unload and a load. */
 private const val ADAPTER_OUTLOOK_MILLIS = 40L
 
+/** Why a model is asked for again that was promised and has not come. */
+private const val OVERDUE = "overdue"
+
 /** When to ask again for a copy for which there is no room now. */
 private const val NO_ROOM_RETRY_MILLIS = 1_000L
 
@@ -48,6 +51,9 @@
 
     /** Refuses the requests that wait for what [need] asks for. */
     fun giveUp(need: TargetNeed)
+
+    /** Refuses those requests that wait for [copy] which can't wait until [atMillis]. */
+    fun giveUpBefore(copy: CopyName, atMillis: Long)
 }
 
 /** Carries questions for copies to other VMs; answers come by [CopyRequests.onAnswer]. */
@@ -154,11 +160,16 @@
         asked.isAnswered = true
         when {
             readyInMillis == null -> decline(copy, asked, answer.reason)
-            readyInMillis > 0 -> asked.expectedMillis = clock.nowMillis() + readyInMillis
+            readyInMillis > 0 -> onPromise(copy, asked, clock.nowMillis() + readyInMillis)
             else -> (answer.targetId ?: asked.targetId)?.let { onReady(it, copy) }
         }
     }
 
+    private fun onPromise(copy: CopyName, asked: PendingCopy, expectedMillis: Long) {
+        asked.expectedMillis = expectedMillis
+        waiting.giveUpBefore(copy, expectedMillis)
+    }
+
     /** Notes that the engine [targetId] holds [copy]; requests that wait for it go on. */
     fun onReady(targetId: TargetId, copy: CopyName) {
         pending -= copy
@@ -171,7 +182,8 @@
     /** The copy won't come from where it was asked for: another engine is asked, or the requests are refused. */
     private fun decline(copy: CopyName, asked: PendingCopy, reason: String) {
         log.write(Event.COPY_DECLINED, field("copy", copy), field("target", asked.targetId), field("reason", reason))
-        declined[copy to asked.targetId] = clock.nowMillis() + settings.declinedMillis
+        val isAskedAgain = reason == OVERDUE && asked.targetId == null
+        if (!isAskedAgain) declined[copy to asked.targetId] = clock.nowMillis() + settings.declinedMillis
         pending -= copy
         val need = waiting.needOrNull(copy) ?: return
         if (want(need, waiting.modelHolders(need)) is CopyOutlook.Unavailable) waiting.giveUp(need)
@@ -183,7 +195,7 @@
         declined.values.removeIf { it <= nowMillis }
         pending.entries.toList().forEach { (copy, asked) ->
             when {
-                nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, "overdue")
+                nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, OVERDUE)
                 asked.isAnswered -> Unit
                 nowMillis - asked.askedAtMillis > settings.giveUpMillis -> decline(copy, asked, "no_answer")
                 nowMillis - asked.sentAtMillis > settings.repeatMillis -> sendQuestion(copy, asked)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -35,7 +35,7 @@
  */
 internal data class OwnerSettings(
     val takeoverMillis: Long,
-    val reportIntervalMillis: Long = 300,
+    val reportIntervalMillis: Long = 120,
     val noticeMillis: Long = 20,
 )
 
@@ -97,7 +97,7 @@
             ?: OwnedEngine(spec).also { engines[entry.targetId] = it }
         if (engine.entryAtMillis == target.entryAtMillis) return
         engine.entryAtMillis = target.entryAtMillis
-        engine.steward.onEntry(entry.bornEpochMillis, entry.heldModels, clock.nowMillis())
+        engine.steward.onEntry(entry.bornEpochMillis, entry.heldModels, clock.nowMillis(), entry.hostWeights)
     }
 
     private fun specOf(target: KnownTarget): EngineSpec? = view.catalog?.services?.get(target.entry.service)?.engine
@@ -173,6 +173,7 @@
                         it.isCarryingOutOrder,
                         it.heldModels,
                         clock.nowMillis(),
+                        it.hostWeights,
                     )
                 },
                 failure = {
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -88,7 +88,7 @@
         repeat(MAX_STARTS) {
             val plan = planner.nextPlanOrNull(enginesOf(service), spec, clock.nowMillis()) ?: return
             val model = spec.models.getValue(plan.modelId)
-            val loadMillis = if (plan.isFromDisk) model.diskLoadMillis else model.loadMillis
+            val loadMillis = model.loadMillisFrom(plan.source)
             val makeRoomMillis = if (plan.victims.isEmpty()) 0 else ModelPlannerSettings().makeRoomMillis
             start(service, plan, loadMillis + makeRoomMillis + REPORT_MARGIN_MILLIS)
         }
@@ -107,7 +107,7 @@
             field("model", plan.modelId),
             field("target", plan.targetId),
             field("victims", plan.victims),
-            field("isFromDisk", plan.isFromDisk),
+            field("source", plan.source.name.lowercase()),
             field("demandPerSecond", planner.demandPerSecond(plan.modelId, nowMillis)),
         )
         send(started)
@@ -117,7 +117,7 @@
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
         view.directory.byService[service].orEmpty().filter { it.takesRequests }.map { target ->
             val held = view.heldModels(target)
-            PlannedEngine(target.entry.targetId, held, view.stateOf(target).everHeld - held.keys)
+            PlannedEngine(target.entry.targetId, held, view.hostWeights(target))
         }
 
     private fun send(plan: RunningPlan) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -9,6 +9,7 @@
 import org.banyanturn.core.routing.targetLoadOf
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.EngineDirectory
+import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.core.stableHash
@@ -29,7 +30,7 @@
     var load = targetLoadOf(slots, reportLifeMillis)
     var breaker = circuitBreakerOf(breakerSettings)
 
-    /** Models that the target has held as long as this VM knows it; it keeps their weights on its own disk. */
+    /** Models that the target has held as long as this VM knows it. */
     val everHeld = HashSet<ModelId>()
 
     /** Copies whose presence is known otherwise than from the target's entry, and until when that holds. */
@@ -167,6 +168,12 @@
             .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
     }
 
+    /** Returns the weights at the host of [target]; of one that does not tell, those of all that it was seen to hold. */
+    fun hostWeights(target: KnownTarget): HostWeights {
+        val told = target.entry.hostWeights
+        return if (told.onDisk.isEmpty()) told.withLoaded(stateOf(target).everHeld) else told
+    }
+
     /** Notes that [copy] is or is not at [target], which goes before the target's entry for a while. */
     fun noteCopy(target: KnownTarget, copy: CopyName, isPresent: Boolean) {
         val lifeMillis = if (isPresent) settings.copyNewsMillis else settings.absenceNewsMillis
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -61,12 +61,21 @@
     /** Ends the waits of all requests that wait for what [need] asks for. */
     fun giveUp(need: TargetNeed) {
         val lane = lanes[laneOf(need)] ?: return
-        lane.toList().forEach { queued ->
-            lane.removeOrNull(queued.requestId)
-            requests.remove(queued.requestId)?.onWaitOver()
+        lane.toList().forEach { giveUp(lane, it) }
+    }
+
+    /** Ends the waits for [copy] that would be over by [atMillis], when it is expected. */
+    fun giveUpBefore(copy: CopyName, atMillis: Long) {
+        lanes.filterKeys { it.copy == copy }.values.forEach { lane ->
+            lane.toList().filter { it.deadlineMillis < atMillis }.forEach { giveUp(lane, it) }
         }
     }
 
+    private fun giveUp(lane: FairQueue, queued: QueuedRequest) {
+        lane.removeOrNull(queued.requestId)
+        requests.remove(queued.requestId)?.onWaitOver()
+    }
+
     /** Ends all waits. */
     fun giveUpAll() {
         requests.values.map { it.need }.forEach(::giveUp)
