--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -117,7 +117,7 @@
         miss("m0")
         val first = checkNotNull(next(engine("i-1", "m1", "m2", onDisk = setOf("m0")))) { "a load is due" }
         planner.started(first, 800, LEARNT_MILLIS)
-        planner.ended(first.modelId, wasDeclined = false, LEARNT_MILLIS + 800)
+        planner.ended(first, wasDeclined = false, LEARNT_MILLIS + 800)
         val dropped = first.victims.single()
         val kept = listOf("m1", "m2").map(::ModelId).single { it != dropped }
         val engines = listOf(engine("i-1", "m0", kept.value, onDisk = setOf("m1", "m2")))
@@ -159,6 +159,33 @@
         assertTrue(plan?.modelId in setOf(ModelId("m9"), ModelId("wide")), "$plan")
     }
 
+    @Test
+    fun `a load that is stuck does not hold its model up`() {
+        demand("m0", 0.3)
+        miss("m0")
+        val engines = listOf("i-1", "i-2").map { engine(it, "m5", "m6", onDisk = setOf("m0")) }
+        val first = checkNotNull(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)) { "a load is due" }
+        planner.started(first, 800, LEARNT_MILLIS)
+        assertFalse(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS + 900)?.modelId == first.modelId)
+        val second = planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS + 1_700)
+        assertEquals(first.modelId, second?.modelId)
+        assertFalse(first.targetId == second?.targetId)
+    }
+
+    @Test
+    fun `a wait is promised also while all that is held has just come`() {
+        listOf("m0", "m1", "m2").forEach { demand(it, 0.3) }
+        val engines = listOf(engine("i-1", "m1", "m2", onDisk = setOf("m0", "m1", "m2")))
+        for (modelId in listOf("m1", "m2").map(::ModelId)) {
+            val plan = LoadPlan(TargetId("i-1"), modelId, emptyList(), WeightsSource.HOST_DISK)
+            planner.started(plan, 800, LEARNT_MILLIS)
+            planner.ended(plan, wasDeclined = false, LEARNT_MILLIS)
+        }
+        miss("m0")
+        assertNull(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS + 100)?.takeIf { it.modelId == ModelId("m0") })
+        assertNotNull(planner.expectedMillisOrNull(ModelId("m0"), engines, spec, LEARNT_MILLIS + 100))
+    }
+
     @Test
     fun `room that stands empty is filled, and nothing makes room for what nobody waits for`() {
         val allModels = spec.models.keys.mapTo(HashSet()) { it.value }
@@ -196,7 +223,7 @@
         miss("m0")
         val first = checkNotNull(next(engine("i-1", "m5"))) { "a load is due" }
         planner.started(first, 6_000, LEARNT_MILLIS)
-        planner.ended(first.modelId, wasDeclined = false, LEARNT_MILLIS)
+        planner.ended(first, wasDeclined = false, LEARNT_MILLIS)
         miss("m1")
         val plan = checkNotNull(next(engine("i-1", "m5", first.modelId.value))) { "a load is due" }
         assertFalse(first.modelId in plan.victims)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -61,12 +61,15 @@
         if (holder != null) return lines.answer(asker, CopyAnswer(asker.number, 0, holder, reason = ""))
         plannerOf(service).noteMiss(copy.modelId, clock.nowMillis())
         startNext(service)
-        val known = running.values.firstOrNull { it.service == service && it.plan.modelId == copy.modelId }
+        val known = plansFor(service, copy.modelId).minByOrNull { it.expectedMillis }
             ?: return queue(service, copy, asker)
         known.askers += asker
         lines.answer(asker, known.answerTo(asker, clock.nowMillis()))
     }
 
+    private fun plansFor(service: ServiceName, modelId: ModelId): List<RunningPlan> =
+        running.values.filter { it.service == service && it.plan.modelId == modelId }
+
     /** Tells [asker] when the load can be expected whose turn has not come, or that none can. */
     private fun queue(service: ServiceName, copy: CopyName, asker: Asker) {
         val spec = view.catalog?.services?.get(service)?.engine
@@ -143,8 +146,9 @@
             running.values.firstOrNull { it.plan.targetId == targetId && it.plan.modelId == copy.modelId } ?: return
         running -= plan.number
         view.directory.targets[targetId]?.let { view.noteCopy(it, copy, isPresent = true) }
-        plannerOf(plan.service).ended(copy.modelId, wasDeclined = false, clock.nowMillis())
-        plan.askers.forEach { lines.answer(it, CopyAnswer(it.number, 0, targetId, reason = "")) }
+        plannerOf(plan.service).ended(plan.plan, wasDeclined = false, clock.nowMillis())
+        val askers = plan.askers + plansFor(plan.service, copy.modelId).flatMap { it.takeAskers() }
+        askers.forEach { lines.answer(it, CopyAnswer(it.number, 0, targetId, reason = "")) }
     }
 
     private fun onDeclined(plan: RunningPlan, reason: String) {
@@ -155,7 +159,12 @@
             field("reason", reason),
         )
         running -= plan.number
-        plannerOf(plan.service).ended(plan.plan.modelId, wasDeclined = true, clock.nowMillis())
+        plannerOf(plan.service).ended(plan.plan, wasDeclined = true, clock.nowMillis())
+        val other = plansFor(plan.service, plan.plan.modelId).minByOrNull { it.expectedMillis }
+        if (other != null) {
+            other.askers += plan.askers
+            return
+        }
         plan.askers.forEach {
             lines.answer(it, CopyAnswer(it.number, readyInMillis = null, targetId = null, reason))
         }
@@ -200,6 +209,8 @@
     val graceMillis: Long
         get() = (expectedMillis - startedAtMillis).coerceAtLeast(MIN_GRACE_MILLIS)
 
+    fun takeAskers(): Set<Asker> = askers.toSet().also { askers.clear() }
+
     fun answerTo(asker: Asker, nowMillis: Long): CopyAnswer =
         CopyAnswer(asker.number, (expectedMillis - nowMillis).coerceAtLeast(1), plan.targetId, reason = "")
 
