Start a waiting load as soon as an engine is free

Models waited 6 s for the one host that keeps them while it loaded another from the store.

A load from the store counts what its engine's host could serve meanwhile.

Test: a load from the store goes where it keeps the fewest from their host.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
@@ -168,7 +168,7 @@
         )
     }
 
-    /** Returns what makes room for [model] at [engine], what is not in use first, or `null` if all of it is not enough. */
+    /** Returns what makes room for [model] at [engine], the unused first, or `null` if all of it is not enough. */
     private fun victimsOrNull(engine: PlannedEngine, model: ModelSpec, waitsForArrivals: Boolean): List<ModelId>? {
         val used = engine.held.entries.sumOf { (held, adapters) -> megabytesOf(held, adapters) }
         var missing = used + model.weightsMegabytes - spec.weightsMegabytes
@@ -213,12 +213,31 @@
         return nowMillis - usedMillis < settings.useMillis
     }
 
-    /** Returns the demand for adapters that the engine can't change while it loads a model. */
+    /** Returns the demand that waits while the engine loads: for adapters there, and for what its host keeps. */
     private fun blockedValue(engine: PlannedEngine, victims: List<ModelId>): Double =
+        adapterDemand(engine, victims) + hostDemand(engine)
+
+    private fun adapterDemand(engine: PlannedEngine, victims: List<ModelId>): Double =
         (engine.held.keys - victims.toSet())
             .filter { (spec.models[it]?.adapterCount ?: 0) > 0 }
             .sumOf { demand(it) / copiesOf(it).coerceAtLeast(1) }
 
+    /** Returns this host's part of the demand for models that no engine holds. */
+    private fun hostDemand(engine: PlannedEngine): Double = hostDemands.getValue(engine.targetId)
+
+    private val hostDemands: Map<TargetId, Double> by lazy {
+        val hosts = HashMap<ModelId, MutableList<TargetId>>()
+        engines.forEach { engine ->
+            val kept = engine.hostWeights.inMemory + engine.hostWeights.onDisk
+            kept.filter { copiesOf(it) == 0 }.forEach { hosts.getOrPut(it) { ArrayList() } += engine.targetId }
+        }
+        val demands = engines.associateTo(HashMap()) { it.targetId to 0.0 }
+        hosts.forEach { (modelId, targetIds) ->
+            targetIds.forEach { demands.merge(it, demand(modelId) / targetIds.size, Double::plus) }
+        }
+        demands
+    }
+
     private fun sizeOf(modelId: ModelId): Double = spec.models[modelId]?.weightsMegabytes ?: spec.weightsMegabytes
 
     private fun megabytesOf(modelId: ModelId, adapters: Int): Double =
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -159,6 +159,18 @@
         assertTrue(plan?.modelId in setOf(ModelId("m9"), ModelId("wide")), "$plan")
     }
 
+    @Test
+    fun `a load from the store goes where it keeps the fewest waiting models from their host`() {
+        listOf("m0", "m1", "m2").forEach { demand(it, 0.3) }
+        miss("m0")
+        val plan = next(
+            engine("i-1", "m5", "m6", onDisk = setOf("m1", "m2")),
+            engine("i-2", "m7", "m8"),
+            engine("i-3", "m4", "m9", onDisk = setOf("m1", "m2")),
+        )
+        assertEquals(TargetId("i-2"), plan?.targetId)
+    }
+
     @Test
     fun `a load that is stuck does not hold its model up`() {
         demand("m0", 0.3)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -24,6 +24,9 @@
 private const val REPEAT_MILLIS = 40L
 private const val GIVE_UP_MILLIS = 250L
 
+/** Time between two looks for an engine that has become free for what waits. */
+private const val TRY_MILLIS = 100L
+
 /** A VM that asked for a model; [host] is `null` for this VM itself. */
 internal data class Asker(val host: String?, val number: Long)
 
@@ -45,7 +48,9 @@
 ) {
     private val planners = HashMap<ServiceName, ModelPlanner>()
     private val running = LinkedHashMap<Long, RunningPlan>()
-    private val queued = HashMap<Pair<ServiceName, ModelId>, MutableSet<Asker>>()
+    private val queued = HashMap<Pair<ServiceName, ModelId>, QueuedAskers>()
+
+    private var triedAtMillis = 0L
 
     /** How owners and askers are reached. */
     lateinit var lines: PlannerLines
@@ -76,7 +81,7 @@
         val inMillis = spec?.let {
             plannerOf(service).expectedMillisOrNull(copy.modelId, enginesOf(service), it, clock.nowMillis())
         }
-        if (inMillis != null) queued.getOrPut(service to copy.modelId) { LinkedHashSet() } += asker
+        if (inMillis != null) queued.getOrPut(service to copy.modelId, ::QueuedAskers).add(asker, clock.nowMillis())
         lines.answer(asker, CopyAnswer(asker.number, inMillis, targetId = null, reason = "no_plan"))
     }
 
@@ -102,7 +107,7 @@
         val planner = plannerOf(service)
         val started = RunningPlan(numbers.next(), service, plan, nowMillis)
         started.expectedMillis = nowMillis + loadMillis
-        started.askers += queued.remove(service to plan.modelId).orEmpty()
+        started.askers += queued.remove(service to plan.modelId)?.askers.orEmpty()
         running[started.number] = started
         planner.started(plan, loadMillis, nowMillis)
         log.write(
@@ -149,6 +154,7 @@
         plannerOf(plan.service).ended(plan.plan, wasDeclined = false, clock.nowMillis())
         val askers = plan.askers + plansFor(plan.service, copy.modelId).flatMap { it.takeAskers() }
         askers.forEach { lines.answer(it, CopyAnswer(it.number, 0, targetId, reason = "")) }
+        startNext(plan.service)
     }
 
     private fun onDeclined(plan: RunningPlan, reason: String) {
@@ -177,9 +183,10 @@
             .forEach { startNext(it.name) }
     }
 
-    /** Repeats orders that got no answer; called every few milliseconds. */
+    /** Repeats orders that got no answer, and starts loads whose turn has come; called every few milliseconds. */
     fun tick() {
         val nowMillis = clock.nowMillis()
+        if (nowMillis - triedAtMillis >= TRY_MILLIS) startQueued(nowMillis)
         running.values.toList().forEach { plan ->
             when {
                 nowMillis > plan.expectedMillis + plan.graceMillis -> onDeclined(plan, "overdue")
@@ -190,9 +197,27 @@
         }
     }
 
+    private fun startQueued(nowMillis: Long) {
+        triedAtMillis = nowMillis
+        queued.values.removeIf { nowMillis - it.askedAtMillis > ModelPlannerSettings().wantedMillis }
+        queued.keys.mapTo(LinkedHashSet()) { (service, _) -> service }.forEach(::startNext)
+    }
+
     private fun plannerOf(service: ServiceName): ModelPlanner = planners.getOrPut(service) { ModelPlanner() }
 }
 
+/** VMs that wait for the turn of a model. */
+private class QueuedAskers {
+    val askers = LinkedHashSet<Asker>()
+    var askedAtMillis = Long.MIN_VALUE
+        private set
+
+    fun add(asker: Asker, nowMillis: Long) {
+        askers += asker
+        askedAtMillis = nowMillis
+    }
+}
+
 /** A load that was ordered and has not ended. */
 private class RunningPlan(
     val number: Long,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -168,7 +168,7 @@
             .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
     }
 
-    /** Returns the weights at the host of [target]; of one that does not tell, those of all that it was seen to hold. */
+    /** Returns the weights at the host of [target], or those that it was seen to hold if it tells none. */
     fun hostWeights(target: KnownTarget): HostWeights {
         val told = target.entry.hostWeights
         return if (told.onDisk.isEmpty()) told.withLoaded(stateOf(target).everHeld) else told
