Let no VM collect a member's use that may have lost it to another

Cause: a VM that the store turns away, or that is cut off, went on to believe the list of owners that it had read last, and collected for itself the members that it owned there, while the store had given them to another VM. Both gave the limit away: the turned-away VM heard no reports of others, so it took all of it for its own demand.

Change: SharingVms.mayCollect decides: with a valid place in the group, yes; without, only while no VM that is heard has one (the store is gone for all) and most VMs are heard. Datagrams say whether the sender's place is valid. Reports to a VM that is not the owner by its own list are not answered. The collector leaves a fixed part to VMs that are out of the group and don't report to it.

Test: AllotmentTest, owners that the store turns away; red without the check: 954,951 tokens in a window of 363,900 allowed. The owner goes on in a general outage, unless it hears few.

Ruled out: requests that waited for a copy (only requests sent and run within the window count), tokens kept from before the cut (0.15 of a burst at most).

--- a/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -21,14 +21,6 @@
     val silenceMillis: Long = 1_500,
 )
 
-/**
- * The VMs that share the limits, as one of them knows them.
- *
- * @property count all VMs that may admit requests, also those that nothing was heard of lately.
- * @property isolated those of them that nothing was heard of, which may run on cut off from the others.
- */
-public data class SharingVms(val count: Int, val isolated: Int = 0)
-
 /** Part of an equal share that a VM takes which hears nothing, and that the others leave to it. */
 internal const val ISOLATED_FRACTION: Double = 0.6
 
--- a/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -59,7 +59,7 @@
         nowMillis: Long,
     ): AllotmentGrant {
         refill(nowMillis)
-        partLeft = partLeftBy(vms)
+        partLeft = partLeftBy(vms, nowMillis)
         val isLearning = nowMillis - startMillis < LEARNING_MILLIS
         val known = holders[from]
         val holder = known ?: HolderUse(report.usedCost).also { holders[from] = it }
@@ -97,8 +97,15 @@
     }
 
     /** Returns the part of the limit that VMs which nothing is heard of don't take by themselves. */
-    private fun partLeftBy(vms: SharingVms): Double =
-        max(0.0, 1.0 - vms.isolated * ISOLATED_FRACTION / max(1, vms.count))
+    private fun partLeftBy(vms: SharingVms, nowMillis: Long): Double =
+        max(0.0, 1.0 - (vms.isolated + withoutCollector(vms, nowMillis)) * ISOLATED_FRACTION / max(1, vms.count))
+
+    /** Returns how many VMs are heard of but don't know this collector, so that they admit a fixed part. */
+    private fun withoutCollector(vms: SharingVms, nowMillis: Long): Int =
+        vms.outOfGroup.count { vm ->
+            val holder = holders[vm]
+            holder == null || nowMillis - holder.heardAtMillis > MAX_UNREPORTED_MILLIS
+        }
 }
 
 /** What one VM has admitted, as far as its reports have come. */
--- a/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
@@ -3,6 +3,7 @@
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.VmId
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.math.ln
@@ -35,8 +36,20 @@
     /** Whether messages to and from a VM are lost. */
     var isCut: (vm: Int) -> Boolean = { false }
 
-    /** VMs that were cut off for a while count as isolated. */
-    private fun vms(): SharingVms = SharingVms(vmCount, (0 until vmCount).count { isCut(it) })
+    /** VMs that the store turns away, and that believe that they own the member. */
+    var isTurnedAway: (vm: Int) -> Boolean = { false }
+    private val ownCollectors = HashMap<Int, AllotmentCollector>()
+
+    /** What the VM [ownVm] knows of the others. */
+    private fun vms(ownVm: Int): SharingVms =
+        SharingVms(
+            (0 until vmCount).filter { it != ownVm }.map { vm ->
+                val isHeard = !isCut(vm) && !isCut(ownVm)
+                SharingPeer(incarnationOf(vm), isHeard, isInGroup = !isTurnedAway(vm))
+            },
+        )
+
+    private fun incarnationOf(vm: Int) = Incarnation(VmId("vm-$vm"), 1)
 
     fun loseCollector(nowMillis: Long) {
         collector = AllotmentCollector(RATE, BURST, nowMillis)
@@ -75,9 +88,10 @@
     private fun tick(vm: Int, nowMillis: Long) {
         decide(vm, nowMillis)
         val report = shares[vm].dueReportOrNull(nowMillis) ?: return
+        if (isTurnedAway(vm)) return collectByItself(vm, report, nowMillis)
         if (isCut(vm)) return
         messages += (nowMillis + delayMillis) to {
-            val grant = collector.onReport(Incarnation(VmId("vm-$vm"), 1), report, vms(), nowMillis + delayMillis)
+            val grant = collector.onReport(incarnationOf(vm), report, vms(vmCount - 1), nowMillis + delayMillis)
             messages += (nowMillis + 2 * delayMillis) to {
                 shares[vm].onGrant(grant, nowMillis + 2 * delayMillis)
                 decide(vm, nowMillis + 2 * delayMillis)
@@ -85,6 +99,12 @@
         }
     }
 
+    private fun collectByItself(vm: Int, report: AllotmentReport, nowMillis: Long) {
+        if (!vms(vm).mayCollect(isInGroup = false)) return
+        val own = ownCollectors.getOrPut(vm) { AllotmentCollector(RATE, BURST, nowMillis) }
+        shares[vm].onGrant(own.onReport(incarnationOf(vm), report, vms(vm), nowMillis), nowMillis)
+    }
+
     fun mostInWindow(): Double =
         admitted.maxOfOrNull { first ->
             admitted.filter { it.atMillis in first.atMillis until first.atMillis + WINDOW_MILLIS }.sumOf { it.cost }
@@ -157,6 +177,28 @@
         assertTrue(fleet.mostInWindow() <= allowed, "${fleet.mostInWindow()} of $allowed")
     }
 
+    @Test
+    fun `the limit holds while owners that the store turns away believe that the member is theirs`() {
+        for (areCutToo in listOf(false, true)) {
+            val random = Random(20_261_208)
+            val arrivals = arrivals(random, perSecond = 240.0, 24_000) { it.nextInt(8) }
+            val fleet = AllotmentFleet(vmCount = 8)
+            var now = 0L
+            fleet.isTurnedAway = { vm -> vm < 3 && now in 1_000..13_000 }
+            fleet.isCut = { vm -> areCutToo && fleet.isTurnedAway(vm) }
+            fleet.play(arrivals, 25_000) { now = it }
+            assertTrue(fleet.mostInWindow() <= allowed, "cut $areCutToo: ${fleet.mostInWindow()} of $allowed")
+        }
+    }
+
+    @Test
+    fun `the owner goes on while the store is out of reach for all, unless it hears only few of them`() {
+        fun vms(heard: Int) = SharingVms(List(7) { SharingPeer(Incarnation(VmId("vm-$it"), 1), it < heard, false) })
+        assertTrue(vms(heard = 4).mayCollect(isInGroup = false))
+        assertFalse(vms(heard = 3).mayCollect(isInGroup = false))
+        assertTrue(vms(heard = 0).mayCollect(isInGroup = true), "the store has given the member to this VM")
+    }
+
     @Test
     fun `the limit holds while VMs are cut off and the collector starts anew`() {
         val random = Random(20_261_206)
@@ -174,7 +216,7 @@
     @Test
     fun `a VM that comes to a collector which does not know it is not charged for its past`() {
         val collector = AllotmentCollector(RATE, BURST, startMillis = 0)
-        val vms = SharingVms(count = 2)
+        val vms = SharingVms(listOf(SharingPeer(Incarnation(VmId("vm-b"), 1), isHeard = true, isInGroup = true)))
         collector.onReport(Incarnation(VmId("vm-a"), 1), report(number = 1, used = 0.0), vms, nowMillis = 0)
         val grant = collector.onReport(Incarnation(VmId("vm-b"), 1), report(number = 40, used = 1e7), vms, 10_000)
         assertEquals(BURST, grant.level)
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
@@ -73,6 +73,10 @@
     val vmCount: Int
         get() = peers.size.coerceAtLeast(1)
 
+    /** Whether this VM's place in the group is valid, so that nobody else has taken over what it owns. */
+    val isInGroup: Boolean
+        get() = clock.nowMillis() < leaseUntilMillis
+
     /** Stays in the group until cancelled. */
     suspend fun run() {
         while (!isLeaving) {
@@ -122,7 +126,7 @@
 
     /** Returns since when this VM owns [key], or `null` if it does not, or if its lease has lapsed. */
     fun ownedSinceMillisOrNull(key: String): Long? =
-        if (clock.nowMillis() >= leaseUntilMillis) null else ownedSinceMillis[partitionOf(key)]
+        if (isInGroup) ownedSinceMillis[partitionOf(key)] else null
 
     /** Forgets the lease, since time may have passed that the clock does not count. */
     fun dropLease() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
@@ -54,6 +54,9 @@
     }
 
     private fun collect(from: Incarnation, memberId: MemberId, report: AllotmentReport): AllotmentGrant? {
+        val vms = liveness.sharingVms()
+        val isOwner = ownership.ownerOrNull(keyOf(memberId))?.let(ownership::isSelf) == true
+        if (!isOwner || !vms.mayCollect(ownership.isInGroup)) return null
         val terms = view.catalog?.termsOrNull(memberId) ?: return null
         val ratePerSecond = terms.ratePerSecond ?: return null
         val nowMillis = clock.nowMillis()
@@ -64,7 +67,7 @@
             running.terms = terms
             running.collector.setLimit(ratePerSecond, terms.burst, nowMillis)
         }
-        return running.collector.onReport(from, report, liveness.sharingVms(), nowMillis)
+        return running.collector.onReport(from, report, vms, nowMillis)
     }
 
     /** Forgets the collectors of members that other VMs own by now. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -23,6 +23,7 @@
     @ProtoNumber(10) val leaving: List<CopyAtMessage> = emptyList(),
     @ProtoNumber(11) val demands: List<DemandMessage> = emptyList(),
     @ProtoNumber(12) val isLeaving: Boolean = false,
+    @ProtoNumber(13) val isInGroup: Boolean = false,
 )
 
 /** A member's use at the sender, for the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -163,7 +163,7 @@
         if (!isIdentifier(datagram.vmId)) return
         val from = Incarnation(VmId(datagram.vmId), datagram.incarnation)
         if (datagram.isLeaving) return liveness.onLeft(from)
-        liveness.onHeard(from)
+        liveness.onHeard(from, datagram.isInGroup)
         relay.onVersion(datagram.catalogVersion, senderHost)
         if (datagram.grants.isNotEmpty()) allotments.onGrants(datagram.grants)
         datagram.replies.map { it.toAnswer() }.forEach { answer ->
@@ -239,6 +239,7 @@
             demands = demands,
             crashRecords = crashRecords,
             isLeaving = isLeaving,
+            isInGroup = ownership.isInGroup,
         )
         socket.send(host, datagram)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
@@ -2,6 +2,7 @@
 
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.VmId
+import org.banyanturn.core.limits.SharingPeer
 import org.banyanturn.core.limits.SharingVms
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.follow.Ownership
@@ -29,8 +30,8 @@
 ) {
     private val known = HashMap<VmId, KnownPeer>()
 
-    /** Notes that the VM [from] said something. */
-    fun onHeard(from: Incarnation) {
+    /** Notes that the VM [from] said something, and whether its place in the group is valid. */
+    fun onHeard(from: Incarnation, isInGroup: Boolean) {
         val nowMillis = clock.nowMillis()
         val peer = known[from.vmId]
         if (peer == null ||
@@ -38,7 +39,9 @@
         ) {
             known[from.vmId] = KnownPeer(from, nowMillis, nowMillis)
         }
-        known[from.vmId]?.heardAtMillis = nowMillis
+        val heard = known.getValue(from.vmId)
+        heard.heardAtMillis = nowMillis
+        heard.isInGroup = isInGroup
     }
 
     /** Takes over the VMs that the group names now; called about once a second. */
@@ -64,9 +67,15 @@
     fun sharingVms(): SharingVms {
         val nowMillis = clock.nowMillis()
         val others = known.values.filter { it.incarnation.vmId != self.incarnation.vmId }
-        val isolated = others.count { nowMillis - it.heardAtMillis > settings.silenceMillis }
-        return SharingVms(others.size + 1, isolated)
+        return SharingVms(
+            others.map {
+                val isHeard = nowMillis - it.heardAtMillis <= settings.silenceMillis
+                SharingPeer(it.incarnation, isHeard, it.isInGroup)
+            },
+        )
     }
 }
 
-private class KnownPeer(val incarnation: Incarnation, var namedAtMillis: Long, var heardAtMillis: Long)
+private class KnownPeer(val incarnation: Incarnation, var namedAtMillis: Long, var heardAtMillis: Long) {
+    var isInGroup = true
+}
