Split the room of an engine's copies from their steward

Change: CopyRoom holds the copies and decides what has room and what makes it; settings have their own file. No behaviour changed; CopyStewardTest and ModelPlannerTest green.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -5,40 +5,6 @@
 import org.banyanturn.core.serving.HeldModel
 import org.banyanturn.core.serving.HostWeights
 
-/**
- * Times by which an engine's copies are managed.
- *
- * @property adapterLoadMillis how long an adapter takes to load.
- * @property makeRoomMillis how long it takes on average until a model has finished its runs and is gone.
- * @property modelIdleMillis how long a model must be unused before it may make room for another.
- * @property adapterIdleMillis the same for an adapter.
- * @property conflictMillis wait before an order is sent again that met another one.
- * @property repeatMillis wait before an order is sent again that got no answer.
- * @property reportLagMillis how old an engine's report may be.
- * @property wishLifeMillis how long a wish stands that nobody repeats.
- */
-public data class CopyStewardSettings(
-    val adapterLoadMillis: Long = 12,
-    val makeRoomMillis: Long = 500,
-    val modelIdleMillis: Long = 3_000,
-    val adapterIdleMillis: Long = 600,
-    val conflictMillis: Long = 8,
-    val repeatMillis: Long = 150,
-    val reportLagMillis: Long = 2_500,
-    val wishLifeMillis: Long = 8_000,
-)
-
-/** What the engine's owner knows of one copy there. */
-internal class StewardedCopy(var phase: CopyPhase, var usedAtMillis: Long) {
-    var readyAtMillis = 0L
-}
-
-/** When a copy was wished for, and what may be dropped for it. */
-internal class CopyWish(val atMillis: Long, val victims: List<CopyName>)
-
-/** Where a copy stands; every phase takes room. */
-internal enum class CopyPhase { HELD, LOADING, UNLOADING, UNCERTAIN }
-
 /**
  * The copies of one engine, as the VM that owns the engine manages them; not safe for use by several threads.
  *
@@ -51,7 +17,8 @@
     private val spec: EngineSpec,
     private val settings: CopyStewardSettings = CopyStewardSettings(),
 ) {
-    private val copies = LinkedHashMap<CopyName, StewardedCopy>()
+    private val room = CopyRoom(spec, settings)
+    private val copies = room.copies
     private val wishes = LinkedHashMap<CopyName, CopyWish>()
     private var lifeEpochMillis: Long? = null
     private var expectedOrders = 0L
@@ -66,10 +33,7 @@
 
     /** Whether the engine's own report is needed to go on. */
     public val needsReport: Boolean
-        get() = !isSending && (!isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || hasModelLoading)
-
-    private val hasModelLoading: Boolean
-        get() = copies.any { (name, copy) -> !name.isAdapter && copy.phase == CopyPhase.LOADING }
+        get() = !isSending && (!isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || room.isModelLoading)
 
     /**
      * Takes in the engine's report.
@@ -201,17 +165,20 @@
         val model = spec.models[copy.modelId] ?: return CopyDeclineReason.IMPOSSIBLE
         if (!isKnown) return CopyDeclineReason.BUSY
         if (model.weightsMegabytes > spec.weightsMegabytes) return CopyDeclineReason.IMPOSSIBLE
-        if (hasModelLoading) return CopyDeclineReason.BUSY
+        if (room.isModelLoading) return CopyDeclineReason.BUSY
         val isModelWished = wishes.keys.any { !it.isAdapter && it != copy }
         if (isModelWished) return CopyDeclineReason.BUSY
         if (copy.isAdapter && copies[copy.model]?.phase != CopyPhase.HELD) return CopyDeclineReason.NO_MODEL
-        return CopyDeclineReason.NO_ROOM.takeUnless { hasRoom(copy) || victimsFor(copy, wish, nowMillis) != null }
+        return CopyDeclineReason.NO_ROOM.takeUnless {
+            room.has(copy) ||
+                room.victimsOrNull(copy, wish.victims, nowMillis) != null
+        }
     }
 
     private fun expectedMillis(copy: CopyName): Long =
         when {
             copy.isAdapter -> settings.adapterLoadMillis * 2
-            hasRoom(copy) -> loadMillis(copy)
+            room.has(copy) -> loadMillis(copy)
             else -> loadMillis(copy) + settings.makeRoomMillis
         }
 
@@ -223,7 +190,7 @@
     /** Returns the order to send now, or `null`; its answer must be told by [onOrderAnswered]. */
     public fun nextOrderOrNull(nowMillis: Long): CopyOrder? {
         if (!isKnown || isSending || nowMillis < nextSendMillis) return null
-        finishAdapters(nowMillis)
+        room.finishAdapters(nowMillis)
         wishes.entries.removeIf { (copy, wish) -> isMet(copy) || nowMillis - wish.atMillis > settings.wishLifeMillis }
         val order = outstanding ?: dueOrderOrNull(nowMillis) ?: return null
         outstanding = order
@@ -240,73 +207,15 @@
     private fun isMet(copy: CopyName): Boolean =
         copies[copy]?.phase.let { it == CopyPhase.HELD || it == CopyPhase.LOADING }
 
-    /** Adapters load so fast that their end is known by time rather than by a report. */
-    private fun finishAdapters(nowMillis: Long) {
-        copies.forEach { (name, copy) ->
-            if (name.isAdapter && copy.phase == CopyPhase.LOADING &&
-                nowMillis >= copy.readyAtMillis
-            ) {
-                copy.phase = CopyPhase.HELD
-            }
-        }
-    }
-
     private fun dueOrderOrNull(nowMillis: Long): CopyOrder? =
         wishes.entries.firstNotNullOfOrNull { (copy, wish) -> orderFor(copy, wish, nowMillis) }
 
     private fun orderFor(copy: CopyName, wish: CopyWish, nowMillis: Long): CopyOrder? {
-        if (hasRoom(copy)) return CopyOrder(CopyOrderKind.LOAD, copy, expectedOrders)
-        val victim = victimsFor(copy, wish, nowMillis)?.firstOrNull() ?: return null
+        if (room.has(copy)) return CopyOrder(CopyOrderKind.LOAD, copy, expectedOrders)
+        val victim = room.victimsOrNull(copy, wish.victims, nowMillis)?.firstOrNull() ?: return null
         return CopyOrder(CopyOrderKind.UNLOAD, victim, expectedOrders)
     }
 
-    private fun hasRoom(copy: CopyName): Boolean {
-        val hasPlace = !copy.isAdapter || copies.keys.count { it.isAdapter } < spec.adapterSlots
-        return hasPlace && usedMegabytes() + sizeOf(copy) <= spec.weightsMegabytes
-    }
-
-    private fun usedMegabytes(): Double = copies.keys.sumOf(::sizeOf)
-
-    private fun sizeOf(copy: CopyName): Double {
-        val model = spec.models[copy.modelId] ?: return spec.weightsMegabytes
-        return if (copy.isAdapter) model.adapterMegabytes else model.weightsMegabytes
-    }
-
-    /** Returns what has to be dropped for [copy], least recently used first, or `null` if too much is in use. */
-    private fun victimsFor(copy: CopyName, wish: CopyWish, nowMillis: Long): List<CopyName>? {
-        val victims = ArrayList<CopyName>()
-        var missing = usedMegabytes() + sizeOf(copy) - spec.weightsMegabytes
-        var missingPlaces = if (copy.isAdapter) copies.keys.count { it.isAdapter } + 1 - spec.adapterSlots else 0
-        for (name in candidatesFor(copy, wish, nowMillis)) {
-            if (missing <= 0 && missingPlaces <= 0) break
-            victims += name
-            missing -= sizeOf(name)
-            if (name.isAdapter) missingPlaces-- else missing -= adapterMegabytesOf(name)
-        }
-        return victims.takeIf { missing <= 0 && missingPlaces <= 0 }
-    }
-
-    private fun adapterMegabytesOf(model: CopyName): Double =
-        copies.keys.filter { it.isAdapter && it.modelId == model.modelId }.sumOf(::sizeOf)
-
-    private fun candidatesFor(copy: CopyName, wish: CopyWish, nowMillis: Long): List<CopyName> {
-        val named = wish.victims.filter { copies[it]?.phase in DROPPABLE && it != copy.model }
-        val idle = copies.entries
-            .filter { (name, held) ->
-                name.isAdapter == copy.isAdapter && name !in named &&
-                    mayDrop(name, held, copy, nowMillis)
-            }
-            .sortedBy { (_, held) -> held.usedAtMillis }
-            .map { it.key }
-        return named + idle
-    }
-
-    private fun mayDrop(name: CopyName, held: StewardedCopy, copy: CopyName, nowMillis: Long): Boolean {
-        val neededMillis = if (name.isAdapter) settings.adapterIdleMillis else settings.modelIdleMillis
-        val isIdle = nowMillis - held.usedAtMillis >= neededMillis
-        return name != copy.model && held.phase in DROPPABLE && (isIdle || held.phase == CopyPhase.UNLOADING)
-    }
-
     /** Takes in how [order] went. */
     public fun onOrderAnswered(order: CopyOrder, result: CopyOrderResult, nowMillis: Long) {
         isSending = false
@@ -344,7 +253,7 @@
         isUncertain = false
         conflicts = 0
         if (order.kind == CopyOrderKind.UNLOAD) {
-            drop(order.copy)
+            room.drop(order.copy)
             nextSendMillis = nowMillis + 1
             return
         }
@@ -355,24 +264,14 @@
         nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
 
-    /**
-     * Forgets a copy whose unload the engine has accepted: it takes up the next order only once the unload is done, so
-     * the room is free by the time a load is accepted.
-     */
-    private fun drop(copy: CopyName) {
-        copies -= copy
-        if (!copy.isAdapter) copies.keys.removeIf { it.modelId == copy.modelId }
-    }
-
     /** Returns whether the engine is known to hold [copy] now. */
     public fun holds(copy: CopyName, nowMillis: Long): Boolean {
-        finishAdapters(nowMillis)
+        room.finishAdapters(nowMillis)
         return copies[copy]?.phase == CopyPhase.HELD
     }
 
     private companion object {
         /** Conflicts in a row after which the engine's own word is asked for. */
         const val CONFLICTS_TO_REPORT = 4
-        val DROPPABLE = setOf(CopyPhase.HELD, CopyPhase.UNLOADING)
     }
 }
