Leave targets and zones alone that don't answer tries to connect

A model asked for 11 times a second waited for the residence of rare models that had just come.

Change: core's Reachability: a target that doesn't answer a try to connect is left alone, with a second one its zone, but for one try a second; the first answer ends it. Placement and planner see reachable targets only, so a model whose copies are out of reach is loaded elsewhere or refused at once. A time limit that ended far too late tells of this VM's own pause and is not counted. Two events, BT1117 and BT1118. Urgent models ignore the residence of others.

Tests: ReachabilityTest, of 100 requests to a cut-off zone at most 14 lose time; the planner's urgent model.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
@@ -113,7 +113,10 @@
             option.readyInMillis < (hostMillisOrNull(model, rank = 0) ?: Long.MAX_VALUE)
 
     private fun mostLoads(model: ModelSpec): Int =
-        maxStoreLoads + if (gainOf(model) >= settings.urgentGain) settings.urgentLoads else 0
+        maxStoreLoads + if (isUrgent(model)) settings.urgentLoads else 0
+
+    /** Whether so much demand waits for [model] that what has just come makes room for it too. */
+    private fun isUrgent(model: ModelSpec): Boolean = gainOf(model) >= settings.urgentGain
 
     /** Returns the requests a second that are lost by [option], with those that wait or are blocked meanwhile. */
     private fun costOf(option: LoadOption, model: ModelSpec): Double {
@@ -174,7 +177,7 @@
         var missing = used + model.weightsMegabytes - spec.weightsMegabytes
         val victims = ArrayList<ModelId>()
         val inOrder = engine.held.keys
-            .filter { waitsForArrivals || !hasJustCome(engine.targetId, it) }
+            .filter { waitsForArrivals || isUrgent(model) || !hasJustCome(engine.targetId, it) }
             .sortedWith(compareBy({ isInUse(engine.targetId, it) }, { valueOf(it) / sizeOf(it) }))
         for (candidate in inOrder) {
             if (missing <= 0) break
--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/Reachability.kt
@@ -0,0 +1,62 @@
+package org.banyanturn.core.routing
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.ZoneId
+
+/**
+ * When targets count as out of reach.
+ *
+ * @property retryMillis time between two tries of a target or an availability zone that is out of reach.
+ * @property zoneTargets silent targets of one availability zone from which on the whole zone counts as cut off.
+ */
+public data class ReachabilitySettings(val retryMillis: Long = 1_000, val zoneTargets: Int = 2)
+
+/**
+ * Which targets this VM reaches, by its own attempts to connect; not safe for use by several threads.
+ *
+ * Load pattern: an availability zone is cut off while the platform still lists its targets, for seconds. Each try to
+ * connect there costs its whole time limit, and a request that tries several such targets in turn is lost. A target
+ * that doesn't answer a try to connect is left alone, and with a second one the rest of its zone, but for one try a
+ * second; the first answer from the zone ends that.
+ */
+public class Reachability(private val settings: ReachabilitySettings = ReachabilitySettings()) {
+    private val zones = HashMap<ZoneId, ZoneReach>()
+
+    /** Returns whether a request may be sent to [targetId] in [zoneId] now. */
+    public fun isReachable(targetId: TargetId, zoneId: ZoneId, nowMillis: Long): Boolean {
+        val zone = zones[zoneId] ?: return true
+        val isInDoubt = targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets
+        return !isInDoubt || nowMillis - zone.triedAtMillis >= settings.retryMillis
+    }
+
+    /** Notes that a request is sent to [targetId], so that the others wait for what becomes of it. */
+    public fun tried(targetId: TargetId, zoneId: ZoneId, nowMillis: Long) {
+        val zone = zones[zoneId] ?: return
+        if (targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets) {
+            zone.triedAtMillis = nowMillis
+        }
+    }
+
+    /** Notes that [targetId] has not answered a try to connect; returns whether that is news. */
+    public fun timedOut(targetId: TargetId, zoneId: ZoneId, nowMillis: Long): Boolean {
+        val zone = zones.getOrPut(zoneId) { ZoneReach() }
+        zone.triedAtMillis = nowMillis
+        return zone.silentTargets.add(targetId)
+    }
+
+    /** Notes that [targetId] has answered, so that its zone is not cut off; returns whether that is news. */
+    public fun answered(targetId: TargetId, zoneId: ZoneId): Boolean {
+        val zone = zones[zoneId] ?: return false
+        if (targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets) {
+            zones -= zoneId
+            return true
+        }
+        return false
+    }
+}
+
+/** The targets of an availability zone that don't answer. */
+private class ZoneReach {
+    val silentTargets = HashSet<TargetId>()
+    var triedAtMillis = Long.MIN_VALUE / 2
+}
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -184,6 +184,17 @@
         assertFalse(first.targetId == second?.targetId)
     }
 
+    @Test
+    fun `a model that many ask for does not wait until what has just come was used`() {
+        demand("m1", 0.3)
+        demand("m0", 8.0)
+        val plan = LoadPlan(TargetId("i-1"), ModelId("m1"), emptyList(), WeightsSource.HOST_DISK)
+        planner.started(plan, 800, LEARNT_MILLIS)
+        planner.ended(plan, wasDeclined = false, LEARNT_MILLIS)
+        miss("m0")
+        assertEquals(ModelId("m0"), next(engine("i-1", "m1", "m2", onDisk = setOf("m0", "m1", "m2")))?.modelId)
+    }
+
     @Test
     fun `a wait is promised also while all that is held has just come`() {
         listOf("m0", "m1", "m2").forEach { demand(it, 0.3) }
--- /dev/null
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/ReachabilityTest.kt
@@ -0,0 +1,59 @@
+package org.banyanturn.core.routing
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.ZoneId
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+private const val CONNECT_LIMIT_MILLIS = 400L
+
+class ReachabilityTest {
+    private val near = ZoneId("zone-a")
+    private val far = ZoneId("zone-b")
+    private val reach = Reachability()
+
+    private fun target(index: Int) = TargetId("i-$index")
+
+    @Test
+    fun `a silent target is left alone and its zone is not, until a second one is silent`() {
+        reach.timedOut(target(1), far, 0)
+        assertFalse(reach.isReachable(target(1), far, 100))
+        assertTrue(reach.isReachable(target(2), far, 100))
+        reach.timedOut(target(2), far, 100)
+        assertFalse(reach.isReachable(target(3), far, 200))
+        assertTrue(reach.isReachable(target(4), near, 200), "another zone")
+    }
+
+    @Test
+    fun `one request a second tries what is out of reach, and an answer ends it`() {
+        reach.timedOut(target(1), far, 0)
+        reach.timedOut(target(2), far, 0)
+        assertTrue(reach.isReachable(target(3), far, 1_000))
+        reach.tried(target(3), far, 1_000)
+        assertFalse(reach.isReachable(target(3), far, 1_010))
+        assertTrue(reach.answered(target(3), far))
+        assertTrue(reach.isReachable(target(1), far, 1_020))
+        assertFalse(reach.answered(target(3), far), "no news")
+    }
+
+    /** Load: 20 requests a second for 5 s to four targets in a zone that is cut off, listed all the while. */
+    @Test
+    fun `of the requests that meet a zone that is cut off few lose time with it`() {
+        val random = Random(20_261_209)
+        val pending = ArrayList<Pair<Long, TargetId>>()
+        var lost = 0
+        for (nowMillis in 0L until 5_000 step 50) {
+            pending.filter { it.first <= nowMillis }.also { pending.removeAll(it) }
+                .forEach { (atMillis, targetId) -> reach.timedOut(targetId, far, atMillis) }
+            val reachable = (1..4).map(::target).filter { reach.isReachable(it, far, nowMillis) }
+            val chosen = reachable.randomOrNull(random) ?: continue
+            reach.tried(chosen, far, nowMillis)
+            pending += nowMillis + CONNECT_LIMIT_MILLIS to chosen
+            lost++
+        }
+        assertTrue(lost <= 8 + 2 + 4, "$lost of 100: those of the first time limit, and one a second")
+        assertTrue(lost >= 8, "before the first time limit nothing can be known")
+    }
+}
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -70,6 +70,12 @@
     /** The platform says that settings have changed. */
     SETTINGS_RELOADED(1116, Level.INFO, "the settings were looked at again"),
 
+    /** Tries to connect to a target are not answered. */
+    TARGET_OUT_OF_REACH(1117, Level.WARN, "a target did not answer a try to connect; it is left alone for a while"),
+
+    /** A target answers again. */
+    TARGET_REACHED(1118, Level.INFO, "a target, or its availability zone, answers again"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -86,8 +86,7 @@
     }
 
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
-        view.directory.byService[service].orEmpty()
-            .firstOrNull { it.takesRequests && view.holds(it, copy) }?.entry?.targetId
+        view.servingTargets(service).firstOrNull { view.holds(it, copy) }?.entry?.targetId
 
     /** Starts the loads that gain most, as many as may run; called about once a second and after each change. */
     fun startNext(service: ServiceName) {
@@ -123,7 +122,7 @@
     }
 
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
-        view.directory.byService[service].orEmpty().filter { it.takesRequests }.map { target ->
+        view.servingTargets(service).map { target ->
             val held = view.heldModels(target)
             PlannedEngine(target.entry.targetId, held, view.hostWeights(target))
         }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
@@ -12,6 +12,9 @@
     /** No connection came about. */
     CONNECT,
 
+    /** A try to connect was not answered within its time limit. */
+    CONNECT_TIMEOUT,
+
     /** The connection broke, or the answer ended before it was whole. */
     BROKEN,
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetChannels.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetChannels.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -146,15 +147,17 @@
             attempt.addListener { done -> onConnected(done.isSuccess, done.cause(), connection) }
         }
 
+        private fun connectFailure(cause: Throwable?): AttemptFailure {
+            val isSilent = cause is ConnectTimeoutException
+            val kind = if (isSilent) AttemptFailureKind.CONNECT_TIMEOUT else AttemptFailureKind.CONNECT
+            return AttemptFailure(wasSent = false, kind, "no connection: $cause")
+        }
+
         private fun onConnected(isSuccess: Boolean, cause: Throwable?, connection: TargetConnection?) {
             if (!isSuccess || connection == null) {
                 openByAddress.computeIfPresent(address) { _, count -> if (count > 1) count - 1 else null }
                 request.release()
-                if (!isCancelled) {
-                    listener.onFailure(
-                        AttemptFailure(wasSent = false, AttemptFailureKind.CONNECT, "no connection: $cause"),
-                    )
-                }
+                if (!isCancelled) listener.onFailure(connectFailure(cause))
                 return
             }
             if (isCancelled) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -5,6 +5,7 @@
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitBreakerSettings
+import org.banyanturn.core.routing.Reachability
 import org.banyanturn.core.routing.circuitBreakerOf
 import org.banyanturn.core.routing.targetLoadOf
 import org.banyanturn.core.serving.Catalog
@@ -90,6 +91,7 @@
     private val settings: FleetViewSettings = FleetViewSettings(),
 ) {
     private val states = HashMap<TargetId, TargetState>()
+    private val reachability = Reachability()
     private val demands = HashMap<Pair<ServiceName, CopyName>, Int>()
     private val watchers = ArrayList<() -> Unit>()
 
@@ -168,6 +170,26 @@
             .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
     }
 
+    /** Returns the targets of [service] that take requests and that this VM reaches. */
+    fun servingTargets(service: ServiceName): List<KnownTarget> {
+        val nowMillis = clock.nowMillis()
+        return directory.byService[service].orEmpty().filter {
+            it.takesRequests && reachability.isReachable(it.entry.targetId, it.entry.zoneId, nowMillis)
+        }
+    }
+
+    /** Notes that a request is sent to [target]. */
+    fun noteTried(target: KnownTarget): Unit =
+        reachability.tried(target.entry.targetId, target.entry.zoneId, clock.nowMillis())
+
+    /** Notes that [target] has not answered a try to connect; returns whether that is news. */
+    fun noteTimedOut(target: KnownTarget): Boolean =
+        reachability.timedOut(target.entry.targetId, target.entry.zoneId, clock.nowMillis())
+
+    /** Notes that [target] has answered; returns whether it, or its zone, was out of reach. */
+    fun noteAnswered(target: KnownTarget): Boolean =
+        reachability.answered(target.entry.targetId, target.entry.zoneId)
+
     /** Returns the weights at the host of [target], or those that it was seen to hold if it tells none. */
     fun hostWeights(target: KnownTarget): HostWeights {
         val told = target.entry.hostWeights
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -9,6 +9,8 @@
 import org.banyanturn.core.delivery.AttemptId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.http.AnswerMatcher
 import org.banyanturn.entry.http.AttemptFailure
 import org.banyanturn.entry.http.AttemptFailureKind
@@ -85,6 +87,7 @@
         head = response
         said = headers
         firstPartMillis = elapsedMillis()
+        if (environment.view.noteAnswered(target)) logReach(Event.TARGET_REACHED)
         environment.metrics.firstPart(firstPartMillis)
         headers.load?.let {
             state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
@@ -150,10 +153,27 @@
         noteFailure()
         val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
         if (failure.kind == AttemptFailureKind.CONNECT) environment.channels.closeIdle(target.socketAddress)
+        if (failure.kind == AttemptFailureKind.CONNECT_TIMEOUT) noteTimedOut()
         fail(evidence, failure.reason)
         environment.waitingRoom.serve()
     }
 
+    /** A time limit that ended long after its time tells of this VM's own pause, not of the target. */
+    private fun noteTimedOut() {
+        environment.channels.closeIdle(target.socketAddress)
+        if (elapsedMillis() > MAX_CONNECT_MILLIS) return
+        if (environment.view.noteTimedOut(target)) logReach(Event.TARGET_OUT_OF_REACH)
+    }
+
+    private fun logReach(event: Event): Unit =
+        environment.log.write(
+            event,
+            field("target", target.entry.targetId),
+            field("zone", target.entry.zoneId),
+            field("request", callerAttemptId),
+            field("elapsedMillis", elapsedMillis()),
+        )
+
     private fun fail(evidence: AttemptEvidence, reason: String, failing: TargetAnswer? = null) {
         receiver.trail.attemptFailed(attemptId.value, target.entry.targetId.value, evidence, reason)
         releaseBody()
@@ -179,6 +199,9 @@
         const val STATUS_OK = 200
         const val FIRST_SERVER_ERROR = 500
         const val MAX_PARTS = 1_024
+
+        /** Twice the time limit of a try to connect. */
+        const val MAX_CONNECT_MILLIS = 800L
         val SUCCESS = 200..299
 
         /** Statuses by which a caller understands that its request has not run. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -177,6 +177,7 @@
         state.load = state.load.sent(attemptId.value, now())
         state.breaker = state.breaker.requestSent(now())
         state.begin(copy)
+        environment.view.noteTried(target)
         trail.sent(attemptId.value, target.entry, state.load.requestsAt(now()))
         val open = OpenAttempt(attemptId, target, copy, environment, this, now(), admission.call.attemptId)
         current = open
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -53,7 +53,7 @@
 ) {
     /** Returns where a request with [need] may go now. */
     fun place(need: TargetNeed): Placement {
-        val serving = view.directory.byService[need.service].orEmpty().filter { it.takesRequests }
+        val serving = view.servingTargets(need.service)
         if (serving.isEmpty()) return Placement.NoTarget
         val copy = need.copy
         val holders = if (copy == null) serving else serving.filter { view.holds(it, copy) }
@@ -64,7 +64,7 @@
 
     /** Returns the targets that hold the model that [need] asks for. */
     fun modelHolders(need: TargetNeed): List<KnownTarget> =
-        modelHolders(view.directory.byService[need.service].orEmpty().filter { it.takesRequests }, need)
+        modelHolders(view.servingTargets(need.service), need)
 
     private fun modelHolders(serving: List<KnownTarget>, need: TargetNeed): List<KnownTarget> {
         val model = need.copy?.model ?: return emptyList()
