Count what comes back after a lapsed lease as newly owned

Cause: found by reading. A VM whose word to the group had lapsed, and that got an engine back afterwards, kept the time since which it had owned the engine before, so it could order at once, though another VM may have ordered until a moment ago; the wait for a new owner (the users' lease and 0.3 s) was skipped.

Change: OwnershipLease, without input or output, holds what is owned and until when; after a lapse in which the group changed, everything counts as new. A lapse without a change (the store's times stood still) keeps it.

--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
@@ -56,14 +56,13 @@
     private val log: DecisionLog,
 ) {
     private var owners: Map<Partition, Peer> = emptyMap()
-    private var ownedSinceMillis: Map<Partition, Long> = emptyMap()
-    private var leaseUntilMillis = Long.MIN_VALUE
+    private val lease = OwnershipLease(settings.ttlMillis)
     private var ownersGeneration = -1L
     private var isLeaving = false
 
     /** The generation of the group as of the last word; it serves as the fencing number. */
-    var generation = 0L
-        private set
+    val generation: Long
+        get() = lease.generation
 
     /** The VMs that own anything. */
     val peers: Set<Peer>
@@ -75,7 +74,7 @@
 
     /** Whether this VM's place in the group is valid, so that nobody else has taken over what it owns. */
     val isInGroup: Boolean
-        get() = clock.nowMillis() < leaseUntilMillis
+        get() = lease.isValid(clock.nowMillis())
 
     /** Stays in the group until cancelled. */
     suspend fun run() {
@@ -102,10 +101,7 @@
                 field("partitions", grant.partitions.size),
             )
         }
-        generation = grant.generation
-        leaseUntilMillis = sentAtMillis + settings.ttlMillis
-        val nowMillis = clock.nowMillis()
-        ownedSinceMillis = grant.partitions.associateWith { ownedSinceMillis[it] ?: nowMillis }
+        lease.onGrant(grant, sentAtMillis, clock.nowMillis())
         return true
     }
 
@@ -126,12 +122,11 @@
 
     /** Returns since when this VM owns [key], or `null` if it does not, or if its lease has lapsed. */
     fun ownedSinceMillisOrNull(key: String): Long? =
-        if (isInGroup) ownedSinceMillis[partitionOf(key)] else null
+        lease.ownedSinceMillisOrNull(partitionOf(key), clock.nowMillis())
 
     /** Forgets the lease, since time may have passed that the clock does not count. */
     fun dropLease() {
-        leaseUntilMillis = Long.MIN_VALUE
-        ownedSinceMillis = emptyMap()
+        lease.drop()
     }
 
     /** Gives up everything that this VM owns. */
