--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -84,7 +84,8 @@
     /** Returns the load that gains most now, or `null` if nothing should be loaded. */
     public fun nextPlanOrNull(engines: List<PlannedEngine>, spec: EngineSpec, nowMillis: Long): LoadPlan? {
         val outlook = outlook(engines, spec, nowMillis)
-        return outlook.candidates().firstNotNullOfOrNull { outlook.planOrNull(it) }
+        if (!outlook.hasFreeEngine) return null
+        return outlook.candidates().take(settings.maxTried).firstNotNullOfOrNull { outlook.planOrNull(it) }
     }
 
     /**
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
@@ -49,6 +49,9 @@
         .groupingBy { it.plan.modelId }
         .eachCount()
     private val atHosts = engines.flatMapTo(HashSet()) { it.hostWeights.inMemory + it.hostWeights.onDisk }
+    private val demands = HashMap<ModelId, Double>()
+    private val freeEngines =
+        engines.filter { it.targetId !in memory.loads && it.targetId !in memory.declinedEngines }
     private val hasRequests = memory.startMillis != null
     private val sinceStartMillis = nowMillis - (memory.startMillis ?: nowMillis)
 
@@ -63,6 +66,10 @@
             settings.maxLoads
         }
 
+    /** Whether any engine can take a load now. */
+    val hasFreeEngine: Boolean
+        get() = freeEngines.isNotEmpty()
+
     /** Returns the models that lack a copy which is not coming, those first that gain most by their size. */
     fun candidates(): List<ModelSpec> =
         spec.models.values.filter(::lacksCopy).sortedByDescending { gainOf(it) / it.weightsMegabytes }
@@ -77,7 +84,7 @@
     private fun demandOf(modelId: ModelId): ModelDemand = memory.demands[modelId] ?: ModelDemand(settings.demand)
 
     private fun demand(modelId: ModelId): Double =
-        demandOf(modelId).perSecond(memory.startMillis ?: nowMillis, nowMillis)
+        demands.getOrPut(modelId) { demandOf(modelId).perSecond(memory.startMillis ?: nowMillis, nowMillis) }
 
     /** Returns how many copies the load and the adapters of [model] take up. */
     private fun neededCopies(model: ModelSpec): Int {
@@ -99,18 +106,16 @@
 
     /** Returns the load of [model] that costs least now, or `null` if none is due or its host's turn is awaited. */
     fun planOrNull(model: ModelSpec): LoadPlan? {
-        val (fromStore, fromHost) = options(model).filter(::isFree).partition { it.plan.isFromStore }
-        val best = fromHost.minByOrNull { costOf(it, model) }
-            ?: fromStore.filter { isSoonerThanHost(it, model) }.minByOrNull { costOf(it, model) }
+        val (fromStore, fromHost) = options(model, freeEngines).partition { it.plan.isFromStore }
+        val best = fromHost.minByOrNull { costOf(it, model) } ?: bestFromStoreOrNull(fromStore, model)
         return best?.plan
     }
 
-    private fun isFree(option: LoadOption): Boolean =
-        option.plan.targetId !in memory.loads && option.plan.targetId !in memory.declinedEngines
-
-    private fun isSoonerThanHost(option: LoadOption, model: ModelSpec): Boolean =
-        storeLoads < mostLoads(model) &&
-            option.readyInMillis < (hostMillisOrNull(model, rank = 0) ?: Long.MAX_VALUE)
+    private fun bestFromStoreOrNull(fromStore: List<LoadOption>, model: ModelSpec): LoadOption? {
+        if (fromStore.isEmpty() || storeLoads >= mostLoads(model)) return null
+        val hostMillis = hostMillisOrNull(model, rank = 0) ?: Long.MAX_VALUE
+        return fromStore.filter { it.readyInMillis < hostMillis }.minByOrNull { costOf(it, model) }
+    }
 
     private fun mostLoads(model: ModelSpec): Int =
         maxStoreLoads + if (isUrgent(model)) settings.urgentLoads else 0
@@ -126,7 +131,7 @@
 
     /** Returns when an engine whose host keeps the weights of [model] can have loaded it, after [rank] others. */
     fun hostMillisOrNull(model: ModelSpec, rank: Int): Long? {
-        val soonest = options(model, waitsForArrivals = true)
+        val soonest = options(model, engines, waitsForArrivals = true)
             .filterNot { it.plan.isFromStore }
             .minOfOrNull { freeInMillis(it.plan.targetId) + it.readyInMillis } ?: return null
         return soonest + rank / engines.size * soonest
@@ -139,12 +144,16 @@
     }
 
     /** Returns whether an engine would make room for [model], now or after what it loads. */
-    fun mayEverLoad(model: ModelSpec): Boolean = options(model, waitsForArrivals = true).isNotEmpty()
+    fun mayEverLoad(model: ModelSpec): Boolean = options(model, engines, waitsForArrivals = true).isNotEmpty()
 
     /** Returns the loads of [model] that are worth it, also those that wait until what has just come was used. */
-    private fun options(model: ModelSpec, waitsForArrivals: Boolean = false): List<LoadOption> {
+    private fun options(
+        model: ModelSpec,
+        among: List<PlannedEngine>,
+        waitsForArrivals: Boolean = false,
+    ): List<LoadOption> {
         val gain = gainOf(model)
-        return engines
+        return among
             .filter { model.modelId !in it.held }
             .mapNotNull { optionOrNull(it, model, waitsForArrivals) }
             .filter { it.plan.victims.isEmpty() || mayDrop(model, gain, it) }
