Send no order that a frozen owner held for long, and freeze owners in the test

The ledger counts on an order's arrival within a fixed time of its decision, and on such engines an order could leave at any time later.

Change: an order leaves within 0.5 s of its decision or not at all (ORDER_LEAVE_MILLIS), on engines that ignore fencing numbers not after the lease either; the ledger counts these 0.5 s. The calm part of the test lasts 100 s in place of 60 s, since a freeze may reach 32 s further into it.

Tests: mechanism out: both kinds of engine fail ('engine e2 holds 130 MiB at 36600', '2 copies of b are loaded at 74000'); lease out of the state: '2 copies of a are loaded at 137700'; lease out of the order: EngineOwnerMachineTest. Three figures of EngineOwnerMachineTest move by the 0.5 s; two cases are new.

Ruled out: ordering stray copies away as a first order with the new fencing number: it mended what was left over, not the second copy, and nothing needs it with the mend.

--- a/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalFleet.kt
+++ b/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalFleet.kt
@@ -96,9 +96,15 @@
 
     /** Returns once router and placer of [vm] are ready. */
     public fun awaitReady(vm: LocalVm) {
-        listOf(vm.placerAdminUrl, vm.adminUrl).forEach { url ->
-            val client = CallerClient(url, key = null)
-            waitUntil("readiness of ${vm.vmId} at $url") { client.statusOrNull("/health/ready") == 200 }
+        awaitReady(vm.placer, vm.placerAdminUrl)
+        awaitReady(vm.router, vm.adminUrl)
+    }
+
+    private fun awaitReady(process: LocalProcess, url: String) {
+        val client = CallerClient(url, key = null)
+        waitUntil("readiness of ${process.name} at $url", details = process::lastOutput) {
+            check(process.isAlive) { "${process.name} has ended: ${process.lastOutput()}" }
+            client.statusOrNull("/health/ready") == 200
         }
     }
 
--- a/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalProcess.kt
+++ b/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalProcess.kt
@@ -2,10 +2,14 @@
 
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import kotlin.io.path.readLines
 import kotlin.io.path.readText
 
 private const val STOP_TIMEOUT_SECONDS = 30L
 
+/** Lines that tell why a process did not become ready. */
+private const val LAST_LINES = 60
+
 /** A signal that a process gets. */
 public enum class ProcessSignal {
     /** Asks the process to end. */
@@ -59,6 +63,9 @@
     /** Returns what the process has printed. */
     public fun output(): String = outputFile.readText()
 
+    /** Returns the last lines that the process has printed. */
+    public fun lastOutput(): String = outputFile.readLines().takeLast(LAST_LINES).joinToString("\n")
+
     public companion object {
         /** Returns the started program [mainClass] with [arguments]; its output goes to a file in [directory]. */
         public fun start(name: String, mainClass: String, arguments: List<String>, directory: Path): LocalProcess {
--- a/acceptance/src/main/kotlin/org/banyanturn/acceptance/Waiting.kt
+++ b/acceptance/src/main/kotlin/org/banyanturn/acceptance/Waiting.kt
@@ -6,13 +6,23 @@
 
 private const val POLL_MILLIS = 50L
 
-/** Returns once [condition] holds. @throws IllegalStateException if it does not within [timeoutMillis]. */
-public fun waitUntil(what: String, timeoutMillis: Long = 60_000, condition: () -> Boolean) {
+/**
+ * Returns once [condition] holds.
+ *
+ * @param details what is told besides if it does not hold in time.
+ * @throws IllegalStateException if it does not within [timeoutMillis].
+ */
+public fun waitUntil(
+    what: String,
+    timeoutMillis: Long = 60_000,
+    details: () -> String = { "" },
+    condition: () -> Boolean,
+) {
     val hasHeld = runBlocking {
         withTimeoutOrNull(timeoutMillis) {
             while (!condition()) delay(POLL_MILLIS)
             true
         }
     }
-    check(hasHeld == true) { "$what did not happen within $timeoutMillis ms" }
+    check(hasHeld == true) { "$what did not happen within $timeoutMillis ms ${details()}" }
 }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerMachine.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerMachine.kt
@@ -27,8 +27,15 @@
         require(orderDelayMillis >= 0) { "orderDelayMillis is $orderDelayMillis, less than 0" }
         require(appendRetryMillis > 0) { "appendRetryMillis is $appendRetryMillis, not more than 0" }
     }
+
+    /** The longest time after its decision in which an order can still reach the engine. */
+    internal val arrivalMillis: Long
+        get() = ORDER_LEAVE_MILLIS + orderDelayMillis
 }
 
+/** How long after its decision an order may leave; one that a frozen process holds longer is not sent any more. */
+public const val ORDER_LEAVE_MILLIS: Long = 500
+
 /** How long after sending an order can reach an engine if the settings say nothing else. */
 public const val DEFAULT_ORDER_DELAY_MILLIS: Long = 5_000
 
@@ -65,4 +72,4 @@
 
 /** Returns the machine of a VM that does not own the engine. */
 public fun engineOwnerMachineOf(settings: EngineOwnerSettings): EngineOwnerMachine =
-    EngineOwnerState(settings, memoryLedgerOf(settings.capacityMebibytes, settings.orderDelayMillis))
+    EngineOwnerState(settings, memoryLedgerOf(settings.capacityMebibytes, settings.arrivalMillis))
--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerOrders.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerOrders.kt
@@ -68,5 +68,8 @@
 private fun EngineOwnerTransition.fencingNumber(): Long =
     checkNotNull(state.fencingNumberOrNull) { "only an owner gives orders" }
 
-private fun EngineOwnerTransition.mustLeaveByMillis(): Long =
-    if (settings.checksFencing) Long.MAX_VALUE else state.leaseUntilMillis
+/** The ledger counts on an order's arrival within a fixed time, whatever freezes the process that sends it. */
+private fun EngineOwnerTransition.mustLeaveByMillis(): Long {
+    val inTimeMillis = nowMillis + ORDER_LEAVE_MILLIS
+    return if (settings.checksFencing) inTimeMillis else minOf(inTimeMillis, state.leaseUntilMillis)
+}
--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerTransition.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineOwnerTransition.kt
@@ -69,7 +69,7 @@
             else -> nowMillis + settings.leaseMillis + settings.orderDelayMillis
         }
         val trustedFromMillis = if (settings.checksFencing && !isFirstOwner) Long.MAX_VALUE else fromMillis
-        val empty = memoryLedgerOf(settings.capacityMebibytes, settings.orderDelayMillis).trustFrom(trustedFromMillis)
+        val empty = memoryLedgerOf(settings.capacityMebibytes, settings.arrivalMillis).trustFrom(trustedFromMillis)
         val inherited = fleet.claimedCopiesOn(settings.targetId)
         state = state.copy(
             ledger = inherited.fold(empty) { ledger, copy -> ledger.inherit(copy.key, copy.memoryMebibytes) },
@@ -89,7 +89,7 @@
         state.waitUntilMillis.keys.forEach { refuse(it, LoadRefusalReason.NOT_OWNER, settings.appendRetryMillis) }
         state = EngineOwnerState(
             settings = settings,
-            ledger = memoryLedgerOf(settings.capacityMebibytes, settings.orderDelayMillis),
+            ledger = memoryLedgerOf(settings.capacityMebibytes, settings.arrivalMillis),
             isHandingOver = state.isHandingOver,
             lastOrderNumber = state.lastOrderNumber,
             lastRecordNumber = state.lastRecordNumber,
--- a/core/src/test/kotlin/org/banyanturn/core/placement/EngineOwnerMachineTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/EngineOwnerMachineTest.kt
@@ -108,7 +108,7 @@
         val early = EngineSnapshot(1, asOfMillis = 3_000)
         handle(EngineOwnerEvent.SnapshotReceived(early), 3_100)
         assertEquals(60, machine.ledger.reservedMebibytes)
-        val late = EngineSnapshot(1, loaded = early.loaded.adding(copy), asOfMillis = 5_010)
+        val late = EngineSnapshot(1, loaded = early.loaded.adding(copy), asOfMillis = 5_510)
         assertTrue(EngineOwnerDecision.CopyReady(copy) in handle(EngineOwnerEvent.SnapshotReceived(late), 6_000))
     }
 
@@ -136,21 +136,37 @@
         assertTrue(EngineOwnerDecision.CopyReady(copy) in want(2_000))
         assertEquals(0, unloads(handle(EngineOwnerEvent.Tick, 5_010)))
         handle(EngineOwnerEvent.UnloadWanted(copy), 5_000)
-        assertEquals(0, unloads(handle(EngineOwnerEvent.Tick, 5_009)))
-        assertEquals(1, unloads(handle(EngineOwnerEvent.Tick, 5_010)))
+        assertEquals(0, unloads(handle(EngineOwnerEvent.Tick, 5_509)))
+        assertEquals(1, unloads(handle(EngineOwnerEvent.Tick, 5_510)))
     }
 
     @Test
     fun `an engine that ignores fencing numbers gets no order once the lease has lapsed`() {
         machine = engineOwnerMachineOf(EngineOwnerSettings(targetId, incarnation, 100, checksFencing = false))
         own()
-        assertEquals(10_010, sendLoad(10).mustLeaveByMillis)
+        assertEquals(10 + ORDER_LEAVE_MILLIS, sendLoad(10).mustLeaveByMillis)
         assertTrue(machine.mayOrder(10_009))
         val refusal = handle(EngineOwnerEvent.LoadWanted(copy.copy(modelVersion = "2"), 10, 20_000), 10_010)
             .filterIsInstance<EngineOwnerDecision.RefuseLoad>().single()
         assertEquals(LoadRefusalReason.LEASE_LAPSED, refusal.reason)
     }
 
+    @Test
+    fun `an order leaves soon after its decision`() {
+        own()
+        assertEquals(10 + ORDER_LEAVE_MILLIS, sendLoad(10).mustLeaveByMillis)
+    }
+
+    @Test
+    fun `no order to an engine that ignores fencing numbers leaves after the lease`() {
+        machine = engineOwnerMachineOf(EngineOwnerSettings(targetId, incarnation, 100, checksFencing = false))
+        own()
+        want(9_700)
+        val order = handle(EngineOwnerEvent.LogRead(log, 10, isAtHead = true), 9_800)
+            .filterIsInstance<EngineOwnerDecision.SendLoad>().single()
+        assertEquals(10_010, order.mustLeaveByMillis)
+    }
+
     @Test
     fun `a successor trusts no report before the engine has seen its fencing number`() {
         succeed()
--- a/core/src/test/kotlin/org/banyanturn/core/placement/EngineOwnerPropertyTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/EngineOwnerPropertyTest.kt
@@ -14,7 +14,7 @@
 private const val SEED = 20_261_204L
 private const val RUNS = 150
 private const val FAULTY_STEPS = 1_500
-private const val CALM_STEPS = 600
+private const val CALM_STEPS = 1_000
 
 @OptIn(ExperimentalKotest::class)
 class EngineOwnerPropertyTest {
--- a/core/src/test/kotlin/org/banyanturn/core/placement/FaultyFleet.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/FaultyFleet.kt
@@ -23,6 +23,10 @@
 private const val ORDER_DELAY_MILLIS = 2_000L
 private const val MAX_CALL_TIMEOUT_MILLIS = 4_000L
 private const val LEASE_MILLIS = 3_000L
+
+/** How often a daemon freezes right before an order, and for how long: past its lease and its successor's wait. */
+private const val FREEZE_PERCENT = 12.0
+private const val MAX_FREEZE_MILLIS = 40_000L
 private const val CAPACITY_MEBIBYTES = 100L
 private val memoryMebibytes = mapOf(ModelId("a") to 60L, ModelId("b") to 40L, ModelId("c") to 30L)
 private val decidedCopies = mapOf(ModelId("a") to 1, ModelId("b") to 1, ModelId("c") to 2)
@@ -187,11 +191,21 @@
             is EngineOwnerDecision.Append ->
                 if (!daemon.isCutOff && !chance(20.0)) later(random.nextLong(1_500)) { append(decision.entry) }
 
-            is EngineOwnerDecision.SendLoad -> send(daemon, target, decision.orderId) { answer ->
+            is EngineOwnerDecision.SendLoad -> send(
+                daemon,
+                target,
+                decision.orderId,
+                decision.mustLeaveByMillis,
+            ) { answer ->
                 load(target, decision, answer)
             }
 
-            is EngineOwnerDecision.SendUnload -> send(daemon, target, decision.orderId) { answer ->
+            is EngineOwnerDecision.SendUnload -> send(
+                daemon,
+                target,
+                decision.orderId,
+                decision.mustLeaveByMillis,
+            ) { answer ->
                 val isFencedOff = isFencedOff(target, decision.fencingNumber)
                 if (!isFencedOff) engines.getValue(target).readyAtMillis.remove(decision.copy)
                 answer(if (isFencedOff) OrderOutcome.FENCED_OFF else OrderOutcome.CONFIRMED)
@@ -201,7 +215,29 @@
         }
     }
 
-    private fun send(daemon: Daemon, target: TargetId, orderId: OrderId, execute: ((OrderOutcome) -> Unit) -> Unit) {
+    /** Now and then a daemon freezes between its decision and the order's first byte; the sender looks again then. */
+    private fun send(
+        daemon: Daemon,
+        target: TargetId,
+        orderId: OrderId,
+        mustLeaveByMillis: Long,
+        execute: ((OrderOutcome) -> Unit) -> Unit,
+    ) {
+        if (!chance(FREEZE_PERCENT)) return leave(daemon, target, orderId, execute)
+        val life = daemon.life
+        val thawMillis = nowMillis + random.nextLong(LEASE_MILLIS, MAX_FREEZE_MILLIS)
+        daemon.pausedUntilMillis = maxOf(daemon.pausedUntilMillis, thawMillis)
+        later(thawMillis - nowMillis) {
+            val isInTime = nowMillis + daemon.clockOffsetMillis < mustLeaveByMillis
+            when {
+                daemon.life != life -> Unit
+                isInTime -> leave(daemon, target, orderId, execute)
+                else -> deliver(daemon, target, EngineOwnerEvent.OrderAnswered(orderId, OrderOutcome.NOT_SENT))
+            }
+        }
+    }
+
+    private fun leave(daemon: Daemon, target: TargetId, orderId: OrderId, execute: ((OrderOutcome) -> Unit) -> Unit) {
         val answer = { outcome: OrderOutcome ->
             if (!chance(20.0)) deliver(daemon, target, EngineOwnerEvent.OrderAnswered(orderId, outcome))
         }
