--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -31,9 +31,15 @@
     private var orderedAtMillis = Long.MIN_VALUE / 2
     private var hostWeights = HostWeights()
 
-    /** Whether the engine's own report is needed to go on. */
-    public val needsReport: Boolean
-        get() = !isSending && (!isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || room.isModelLoading)
+    /** Whether an entry listed other copies than are known here, too soon after an order to be believed. */
+    private var isEntryUnconfirmed = false
+
+    /** Returns whether the engine's own report is needed to go on. */
+    public fun needsReport(nowMillis: Long): Boolean {
+        if (isSending) return false
+        val isEntryDue = isEntryUnconfirmed && hasOutlastedReports(nowMillis)
+        return !isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || room.isModelLoading || isEntryDue
+    }
 
     /**
      * Takes in the engine's report.
@@ -67,13 +73,19 @@
             copies.entries.removeIf { (name, copy) -> copy.phase == CopyPhase.UNCERTAIN && name !in held }
         }
         adoptHeld(held, nowMillis)
+        if (hasOutlastedReports(nowMillis)) isEntryUnconfirmed = false
         copies.entries.removeIf { (name, copy) ->
             name !in held && copy.phase == CopyPhase.LOADING &&
                 hasOutlastedReports(nowMillis)
         }
     }
 
-    /** Takes in the copies that the engine's entry lists; it may be older than the latest orders and counts none. */
+    /**
+     * Takes in the copies that the engine's entry lists; it may be older than the latest orders and counts none.
+     *
+     * Entries are told only when they change. One that comes soon after an order is not believed, and the engine's own
+     * report settles later what it holds.
+     */
     public fun onEntry(
         bornEpochMillis: Long?,
         heldModels: Map<ModelId, HeldModel>,
@@ -82,7 +94,13 @@
     ) {
         this.hostWeights = hostWeights
         if (isKnown && isOtherLife(bornEpochMillis)) return forgetLife()
-        if (isKnown && outstanding == null && hasOutlastedReports(nowMillis)) adoptHeld(namesOf(heldModels), nowMillis)
+        if (!isKnown) return
+        val held = namesOf(heldModels)
+        if (outstanding == null && hasOutlastedReports(nowMillis)) {
+            adoptHeld(held, nowMillis)
+        } else if (held != copies.keys) {
+            isEntryUnconfirmed = true
+        }
     }
 
     private fun isOtherLife(bornEpochMillis: Long?): Boolean =
@@ -107,6 +125,7 @@
         isKnown = false
         outstanding = null
         isUncertain = false
+        isEntryUnconfirmed = false
         conflicts = 0
         copies.clear()
     }
--- a/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/EngineDirectory.kt
@@ -60,18 +60,34 @@
 
     /** Returns the directory after [entry] was read. */
     public fun listed(entry: TargetEntry, nowMillis: Long): EngineDirectory =
-        EngineDirectory(targets + (entry.targetId to KnownTarget(entry, nowMillis)), lapsedGraceMillis)
+        changed(mapOf(entry.targetId to entry), mayHaveLapsed = false, nowMillis)
 
     /**
      * Returns the directory after the entry of [targetId] was seen to be gone.
      *
      * @param mayHaveLapsed whether the list was out of reach, for its readers or its writers, until just now.
      */
-    public fun missing(targetId: TargetId, mayHaveLapsed: Boolean, nowMillis: Long): EngineDirectory {
-        val known = targets[targetId] ?: return this
-        if (!mayHaveLapsed || known.entry.isDraining) return EngineDirectory(targets - targetId, lapsedGraceMillis)
-        val lapsed = known.copy(missingSinceMillis = known.missingSinceMillis ?: nowMillis)
-        return EngineDirectory(targets + (targetId to lapsed), lapsedGraceMillis)
+    public fun missing(targetId: TargetId, mayHaveLapsed: Boolean, nowMillis: Long): EngineDirectory =
+        changed(mapOf(targetId to null), mayHaveLapsed, nowMillis)
+
+    /** Returns the directory after [changes] were read: the new entries, and `null` for those that are gone. */
+    public fun changed(
+        changes: Map<TargetId, TargetEntry?>,
+        mayHaveLapsed: Boolean,
+        nowMillis: Long,
+    ): EngineDirectory {
+        if (changes.isEmpty()) return this
+        val changed = LinkedHashMap(targets)
+        changes.forEach { (targetId, entry) ->
+            val known = changed[targetId]
+            when {
+                entry != null -> changed[targetId] = KnownTarget(entry, nowMillis)
+                known == null -> Unit
+                !mayHaveLapsed || known.entry.isDraining -> changed -= targetId
+                else -> changed[targetId] = known.copy(missingSinceMillis = known.missingSinceMillis ?: nowMillis)
+            }
+        }
+        return EngineDirectory(changed, lapsedGraceMillis)
     }
 
     /** Returns the directory that lists only [entries]; targets that are not among them went missing. */
@@ -80,11 +96,8 @@
         mayHaveLapsed: Boolean,
         nowMillis: Long,
     ): EngineDirectory {
-        val listedIds = entries.mapTo(HashSet()) { it.targetId }
-        val withEntries = entries.fold(this) { directory, entry -> directory.listed(entry, nowMillis) }
-        return (targets.keys - listedIds).fold(withEntries) { directory, targetId ->
-            directory.missing(targetId, mayHaveLapsed, nowMillis)
-        }
+        val listed = entries.associateBy { it.targetId }
+        return changed(targets.keys.associateWith { listed[it] } + listed, mayHaveLapsed, nowMillis)
     }
 
     /** Returns the directory without the targets whose entries have not come back in time. */
--- a/core/src/test/kotlin/org/banyanturn/core/placement/CopyStewardTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/CopyStewardTest.kt
@@ -39,7 +39,7 @@
     @Test
     fun `nothing is ordered before the engine has told how many orders it has accepted`() {
         val steward = CopySteward(spec)
-        assertTrue(steward.needsReport)
+        assertTrue(steward.needsReport(nowMillis = 0))
         assertInstanceOf(CopyPromise.Declined::class.java, steward.want(copy("m1"), 10))
         assertNull(steward.nextOrderOrNull(10))
     }
@@ -48,7 +48,7 @@
     fun `a new owner waits while an order of the owner before is in progress`() {
         val steward = CopySteward(spec)
         steward.onReport(1, ordersAccepted = 4, isCarryingOutOrder = true, held("m0" to emptyList()), nowMillis = 0)
-        assertTrue(steward.needsReport)
+        assertTrue(steward.needsReport(nowMillis = 0))
         assertInstanceOf(CopyPromise.Declined::class.java, steward.want(copy("m1"), 10))
         steward.onReport(
             1,
@@ -60,6 +60,22 @@
         assertEquals(CopyPromise.Ready, steward.want(copy("m1"), 6_010))
     }
 
+    @Test
+    fun `an entry that changed too soon after an order is settled by the engine's report`() {
+        val steward = steward("m0" to emptyList())
+        steward.want(copy("m0", "a1"), 5_000)
+        val load = checkNotNull(steward.nextOrderOrNull(5_000)) { "an order is due" }
+        steward.onOrderAnswered(load, CopyOrderResult.ACCEPTED, 5_010)
+        assertTrue(steward.holds(copy("m0", "a1"), 5_100))
+        steward.onEntry(1, held("m0" to emptyList()), nowMillis = 5_900)
+        assertTrue(steward.holds(copy("m0", "a1"), 5_900), "the entry may be older than the order")
+        assertFalse(steward.needsReport(nowMillis = 5_900))
+        assertTrue(steward.needsReport(nowMillis = 7_600), "no other entry comes while the engine stays as it is")
+        steward.onReport(1, ordersAccepted = 5, false, held("m0" to emptyList()), nowMillis = 7_600)
+        assertFalse(steward.holds(copy("m0", "a1"), 7_600))
+        assertFalse(steward.needsReport(nowMillis = 7_600))
+    }
+
     @Test
     fun `an adapter takes the place of the one that was used least recently`() {
         val steward = steward("m0" to listOf("a1", "a2"))
@@ -109,7 +125,7 @@
         steward.want(copy("m1"), 10)
         val load = checkNotNull(steward.nextOrderOrNull(10)) { "an order is due" }
         steward.onOrderAnswered(load, CopyOrderResult.UNKNOWN, 300)
-        assertTrue(steward.needsReport)
+        assertTrue(steward.needsReport(nowMillis = 0))
         assertEquals(load, steward.nextOrderOrNull(1_000))
         steward.onOrderAnswered(load, CopyOrderResult.CONFLICT, 1_010)
         steward.onReport(1, ordersAccepted = 5, true, held("m0" to emptyList()), 1_100)
@@ -122,7 +138,7 @@
     fun `an engine that started again holds nothing of before`() {
         val steward = steward("m0" to emptyList(), "m1" to emptyList())
         steward.onEntry(bornEpochMillis = 2, held(), nowMillis = 10_000)
-        assertTrue(steward.needsReport)
+        assertTrue(steward.needsReport(nowMillis = 0))
         assertNull(steward.nextOrderOrNull(10_000))
         steward.onReport(2, ordersAccepted = 0, false, held(), 10_100)
         assertInstanceOf(CopyPromise.Coming::class.java, steward.want(copy("m0"), 10_200))
@@ -224,7 +240,7 @@
                         served++
                     }
                 }
-                if (steward.needsReport && nowMillis % 300 == 0L) {
+                if (steward.needsReport(nowMillis) && nowMillis % 300 == 0L) {
                     val report = reports.first()
                     steward.onReport(1, report.accepted, report.isBusy, report.held, nowMillis)
                 }
--- /dev/null
+++ b/core/src/test/kotlin/org/banyanturn/core/relay/ChangeLogTest.kt
@@ -0,0 +1,104 @@
+package org.banyanturn.core.relay
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+private const val SEED = 20_261_204L
+private const val RUNS = 200
+private const val STEPS = 60
+private const val KEYS = 6
+private const val KEPT_REMOVALS = 3
+
+class ChangeLogTest {
+    private fun entry(key: String, value: String?, offset: Long) = KeyChange(key, value, offset)
+
+    private val read = ChangeLog.empty<String>()
+        .replaced(listOf(entry("a", "ready", 3), entry("b", "ready", 7)), nextOffset = 8)
+
+    @Test
+    fun `repeats of what is known are not handed on`() {
+        val later = read.advanced(listOf(entry("a", "ready", 8), entry("b", "draining", 9)), nextOffset = 10)
+        assertEquals(ChangesSince.Known(listOf(entry("b", "draining", 9)), 10), later.since(8))
+        assertEquals(ChangesSince.Known(emptyList<KeyChange<String>>(), 10), later.since(10))
+    }
+
+    @Test
+    fun `a removal is handed on, also one that only the whole list shows`() {
+        val removed = read.advanced(listOf(entry("a", null, 8)), nextOffset = 9)
+        assertEquals(ChangesSince.Known(listOf(entry("a", null, 8)), 9), removed.since(8))
+
+        val reread = read.replaced(listOf(entry("b", "ready", 20)), nextOffset = 21)
+        assertEquals(setOf(entry("a", null, 20), entry("b", "ready", 20)), changesOf(reread.since(8)).toSet())
+        assertEquals(ChangesSince.Known(listOf(entry("b", "ready", 20)), 21), reread.whole())
+    }
+
+    @Test
+    fun `who asks for more than is known is told to read the whole list`() {
+        assertEquals(ChangesSince.Forgotten, read.since(7))
+        assertEquals(ChangesSince.Forgotten, ChangeLog.empty<String>().since(0))
+        assertEquals(ChangesSince.Forgotten, ChangeLog.empty<String>().whole())
+    }
+
+    @Test
+    fun `who is ahead of the log goes on where it was`() {
+        assertEquals(ChangesSince.Known(emptyList<KeyChange<String>>(), 30), read.since(30))
+    }
+
+    @Test
+    fun `a value that a key had before and has again is handed on`() {
+        val behind = read.advanced(listOf(entry("a", "draining", 8)), nextOffset = 9)
+        val skipped = read.merged(listOf(entry("a", "ready", 9)), nextOffset = 10)
+        assertEquals(ChangesSince.Known(listOf(entry("a", "ready", 9)), 10), skipped.since(behind.nextOffset))
+    }
+
+    /** VMs that change between several readers and the topic itself end with what the topic holds. */
+    @Test
+    fun `followers that change their reader at any time end equal to the topic`() {
+        repeat(RUNS) { run ->
+            val random = Random(SEED + run)
+            val topic = ArrayList<KeyChange<String>>()
+            val logs = Array(3) { ChangeLog.empty<String>(KEPT_REMOVALS) }
+            repeat(STEPS) {
+                val value = if (random.nextInt(3) == 0) null else "v${random.nextInt(2)}"
+                topic += entry("k${random.nextInt(KEYS)}", value, topic.size.toLong())
+                val follower = random.nextInt(logs.size)
+                val source = random.nextInt(logs.size + 1)
+                logs[follower] = logs[follower].follow(logs.getOrNull(source), topic)
+            }
+            logs.indices.forEach { logs[it] = logs[it].follow(null, topic) }
+            val expected = newest(topic)
+            logs.forEach { log -> assertEquals(expected, log.valuesByKey(), "run $run, seed ${SEED + run}") }
+        }
+    }
+
+    private fun ChangeLog<String>.follow(peer: ChangeLog<String>?, topic: List<KeyChange<String>>): ChangeLog<String> {
+        val isNew = whole() == ChangesSince.Forgotten
+        val answer = when {
+            peer == null && isNew -> ChangesSince.Forgotten
+            peer == null -> ChangesSince.Known(topic.filter { it.offset >= nextOffset }, topic.size.toLong())
+            isNew -> ChangesSince.Forgotten
+            else -> peer.since(nextOffset)
+        }
+        if (answer is ChangesSince.Known) {
+            val isEveryRecord = peer == null
+            return if (isEveryRecord) {
+                advanced(answer.changes, answer.nextOffset)
+            } else {
+                merged(answer.changes, answer.nextOffset)
+            }
+        }
+        val whole = peer?.whole() as? ChangesSince.Known
+        if (whole != null && whole.nextOffset >= nextOffset) return replaced(whole.changes, whole.nextOffset)
+        val listed = topic.groupBy { it.key }.values.map { it.last() }.filter { it.value != null }
+        return replaced(listed, topic.size.toLong())
+    }
+
+    private fun changesOf(since: ChangesSince<String>) = (since as ChangesSince.Known).changes
+
+    private fun newest(topic: List<KeyChange<String>>): Map<String, String> =
+        topic.associate { it.key to it.value }.mapNotNull { (key, value) -> value?.let { key to it } }.toMap()
+
+    private fun ChangeLog<String>.valuesByKey(): Map<String, String> =
+        changesOf(whole()).associate { it.key to checkNotNull(it.value) { "listed" } }
+}
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -76,6 +76,9 @@
     /** A target answers again. */
     TARGET_REACHED(1118, Level.INFO, "a target, or its availability zone, answers again"),
 
+    /** This VM gets the platform's lists from another source. */
+    READER_CHANGED(1119, Level.INFO, "the platform's lists are read from another source"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryMain.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryMain.kt
@@ -14,7 +14,6 @@
 
 /** Runs the one program of an entry VM with the command line [arguments]. */
 public fun main(arguments: Array<String>) {
-    System.setProperty("banyanturn.log.appender", "stdout")
     val parsed = EntryArguments.parse(arguments)
     val boot = readBoot(parsed.bootFile)
     if (parsed.isCheckOnly) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -111,7 +111,7 @@
         announceReady(targetId, engine)
         if (!mayOrder(targetId)) return
         val target = view.directory.targets[targetId] ?: return
-        if (engine.steward.needsReport) askForReport(target, engine)
+        if (engine.steward.needsReport(clock.nowMillis())) askForReport(target, engine)
         val order = engine.steward.nextOrderOrNull(clock.nowMillis()) ?: return
         scope.launch { send(target, engine, order) }
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -3,6 +3,8 @@
 import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.first
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.observe.DecisionLog
@@ -18,12 +20,17 @@
 
 private const val RETRY_MILLIS = 200L
 
-/** Keeps the catalog of [view] up to date from the platform's store; it never moves to an older version. */
+/**
+ * Keeps the catalog of [view] up to date from the platform's store; it never moves to an older version.
+ *
+ * It reads the store while [readsStore]; otherwise the VM that reads for the zone tells of new versions.
+ */
 internal class CatalogFollower(
     private val topic: KeyedTopic,
     private val view: FleetView,
     private val watch: StoreWatch,
     private val log: DecisionLog,
+    private val readsStore: StateFlow<Boolean>,
 ) {
     private var nextOffset: Long? = null
 
@@ -31,9 +38,17 @@
     var document: String? = null
         private set
 
+    /** Called after a newer catalog was taken over. */
+    var onAdopted: () -> Unit = {}
+
+    /** Whether the catalog is followed: by another VM's word, or from a store that answers. */
+    val isFollowed: Boolean
+        get() = !readsStore.value || !watch.isLost
+
     /** Follows until cancelled. */
     suspend fun run() {
         while (true) {
+            if (nextOffset != null) readsStore.first { it }
             val isRead = nextOffset?.let { readChanges(it) } ?: readSnapshot()
             if (!isRead) delay(RETRY_MILLIS)
         }
@@ -89,6 +104,7 @@
                     field("routes", catalog.routeCount),
                     field("source", source),
                 )
+                onAdopted()
             },
             failure = {
                 log.write(Event.DECLARATION_UNREADABLE, field("key", CATALOG_KEY), field("error", it.problem))
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogRelay.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogRelay.kt
@@ -1,7 +1,6 @@
 package org.banyanturn.entry.follow
 
 import com.github.michaelbull.result.getOrElse
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -12,10 +11,12 @@
 import org.banyanturn.platform.hosted.HttpExchanges
 import org.banyanturn.platform.hosted.SocketAddressText
 
-private const val PATH = "/catalog"
+/** Path at which VMs ask each other for the catalog. */
+internal const val CATALOG_PATH = "/catalog"
+
 private const val TIMEOUT_MILLIS = 500L
 
-/** How long a VM that has a newer catalog is given to hear of it from the store itself. */
+/** How long a VM that reads the store is given to hear of a newer catalog from the store itself. */
 private const val PATIENCE_MILLIS = 400L
 
 private const val STATUS_OK = 200
@@ -34,6 +35,7 @@
     private val view: FleetView,
     private val scope: CoroutineScope,
     private val clock: ProcessClock,
+    private val readsStore: () -> Boolean,
 ) {
     private var heardVersion = Long.MIN_VALUE
     private var heardAtMillis = 0L
@@ -47,14 +49,15 @@
             heardVersion = version
             heardAtMillis = nowMillis
         }
-        val isOverdue = view.catalog == null || nowMillis - heardAtMillis >= PATIENCE_MILLIS
+        val patienceMillis = if (readsStore()) PATIENCE_MILLIS else 0
+        val isOverdue = view.catalog == null || nowMillis - heardAtMillis >= patienceMillis
         if (isOverdue && !isReading) scope.launch { read(host) }
     }
 
     private suspend fun read(host: String) {
         isReading = true
         try {
-            val call = HttpExchangeCall("GET", PATH, timeoutMillis = TIMEOUT_MILLIS)
+            val call = HttpExchangeCall("GET", CATALOG_PATH, timeoutMillis = TIMEOUT_MILLIS)
             val reply = exchanges.call(SocketAddressText(host, port), call).getOrElse { return }
             if (reply.statusCode == STATUS_OK) follower.takeDocument(reply.body.decodeToString(), source = host)
         } finally {
@@ -62,10 +65,9 @@
         }
     }
 
-    /** Returns the answer to another VM's [request] for the catalog. */
-    fun answer(request: FullHttpRequest): SmallAnswer {
-        val document = follower.document
-        if (request.uri() != PATH || document == null) return SmallAnswer(HttpResponseStatus.NOT_FOUND)
+    /** Returns the answer to another VM's question for the catalog. */
+    fun answer(): SmallAnswer {
+        val document = follower.document ?: return SmallAnswer(HttpResponseStatus.NOT_FOUND)
         return SmallAnswer(HttpResponseStatus.OK, document.encodeToByteArray(), "application/json")
     }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/Ownership.kt
@@ -60,6 +60,9 @@
     private var ownersGeneration = -1L
     private var isLeaving = false
 
+    /** Called after the group has given this VM other partitions, or has named other owners. */
+    var onChange: () -> Unit = {}
+
     /** The generation of the group as of the last word; it serves as the fencing number. */
     val generation: Long
         get() = lease.generation
@@ -101,7 +104,9 @@
                 field("partitions", grant.partitions.size),
             )
         }
+        val isOther = grant.generation != generation
         lease.onGrant(grant, sentAtMillis, clock.nowMillis())
+        if (isOther) onChange()
         return true
     }
 
@@ -111,6 +116,7 @@
             Peer.parseOrNull(name)?.let { partition to it }
         }.toMap()
         ownersGeneration = list.generation
+        onChange()
     }
 
     /** Returns the partition of [key]. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/StoreWatch.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/StoreWatch.kt
@@ -1,5 +1,8 @@
 package org.banyanturn.entry.follow
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.onErr
+import com.github.michaelbull.result.onOk
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
@@ -15,9 +18,13 @@
     private var lostAtMillis: Long? = null
     private var regainedAtMillis: Long? = null
 
-    /** When a call last succeeded, or `null` if none has. */
-    var succeededAtMillis: Long? = null
-        private set
+    /** Whether the last call failed. */
+    val isLost: Boolean
+        get() = lostAtMillis != null
+
+    /** Returns the result of [call] after noting whether it succeeded. */
+    suspend fun <T> watched(call: suspend () -> Result<T, StoreError>): Result<T, StoreError> =
+        call().onOk { onSuccess() }.onErr(::onError)
 
     /** Notes that a call has succeeded. */
     fun onSuccess() {
@@ -27,7 +34,6 @@
             regainedAtMillis = nowMillis
         }
         lostAtMillis = null
-        succeededAtMillis = nowMillis
     }
 
     /** Notes that a call has failed. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
@@ -1,10 +1,12 @@
 package org.banyanturn.entry.follow
 
-import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.delay
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.isIdentifier
+import org.banyanturn.core.relay.ChangeLog
+import org.banyanturn.core.relay.ChangesSince
+import org.banyanturn.core.relay.KeyChange
 import org.banyanturn.core.serving.EngineDirectory
 import org.banyanturn.core.serving.TargetEntry
 import org.banyanturn.daemon.ProcessClock
@@ -12,97 +14,151 @@
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.requests.FleetView
-import org.banyanturn.platform.KeyedChanges
-import org.banyanturn.platform.KeyedRecord
-import org.banyanturn.platform.KeyedTopic
-import org.banyanturn.platform.hosted.parseTargetEntryOrNull
+import kotlin.random.Random
 
-/** Time between two reads; targets write often, and each read costs a call. */
-private const val READ_INTERVAL_MILLIS = 500L
+/**
+ * Times of following the list of targets.
+ *
+ * @property storeIntervalMillis time between two reads of the store; targets write often, and each read is a call.
+ * @property storeWaitMillis how long a read of the store waits for a change.
+ * @property peerIntervalMillis time between two questions to another VM, which answers when something changes.
+ * @property peerWaitMillis how long such a question waits for a change.
+ * @property firstRetryMillis time after a first failure until the next try; doubled with each failure in a row.
+ */
+internal data class TargetFollowerSettings(
+    val storeIntervalMillis: Long = 500,
+    val storeWaitMillis: Long = 500,
+    val peerIntervalMillis: Long = 100,
+    val peerWaitMillis: Long = 700,
+    val firstRetryMillis: Long = 200,
+    val maxRetryMillis: Long = 800,
+)
 
-private const val WAIT_MILLIS = 500L
-private const val RETRY_MILLIS = 200L
-
-/** How long after an outage of the store an entry that is gone may come back. */
-private const val LAPSE_WINDOW_MILLIS = 2_500L
-
-/** Keeps the list of targets of [view] up to date from the platform's store. */
+/** Keeps the list of targets of [view] up to date, from the platform's store or from the VM that reads it. */
 internal class TargetFollower(
-    private val topic: KeyedTopic,
+    private val store: TargetListSource,
+    private val readers: ZoneReaders,
     private val view: FleetView,
-    private val watch: StoreWatch,
     private val clock: ProcessClock,
     private val log: DecisionLog,
+    private val random: Random,
+    private val settings: TargetFollowerSettings = TargetFollowerSettings(),
 ) {
-    private var nextOffset: Long? = null
+    private var changes = ChangeLog.empty<TargetEntry>()
+    private var isRead = false
+    private var heldAtMillis = 0L
+    private var failures = 0
+
+    /** Called after each read. */
+    var onRead: () -> Unit = {}
+
+    /** Whether entries that are gone may have lapsed in an outage, as of the last read. */
+    var mayHaveLapsed = false
+        private set
+
+    /** What is known of the list, for other VMs. */
+    val known: ChangeLog<TargetEntry>
+        get() = changes
+
+    /** Returns for how long the store may hold another list than this VM, in milliseconds. */
+    fun ageMillis(): Long = if (isRead) clock.nowMillis() - heldAtMillis else Long.MAX_VALUE
+
+    /** Forgets how old the list is, since time may have passed that the clock does not count. */
+    fun forgetAge() {
+        isRead = false
+    }
 
     /** Follows until cancelled. */
     suspend fun run() {
         while (true) {
-            val isRead = nextOffset?.let { readChanges(it) } ?: readSnapshot()
-            view.adoptIfChanged(view.directory.expire(clock.nowMillis()))
-            delay(if (isRead) READ_INTERVAL_MILLIS else RETRY_MILLIS)
+            val pauseMillis = readOnce()
+            val expired = view.directory.expire(clock.nowMillis())
+            if (expired !== view.directory) view.adopt(expired)
+            delay(pauseMillis)
         }
     }
 
-    private suspend fun readSnapshot(): Boolean =
-        topic.snapshot().fold(
-            success = { snapshot ->
-                val mayHaveLapsed = watch.wasLostWithin(LAPSE_WINDOW_MILLIS)
-                watch.onSuccess()
-                val entries = snapshot.records.mapNotNull(::entryOrNull)
-                view.adopt(view.directory.replaced(entries, mayHaveLapsed, clock.nowMillis()))
-                nextOffset = snapshot.nextOffset
-                true
-            },
-            failure = {
-                watch.onError(it)
-                false
-            },
-        )
+    /** Reads from the VM that reads for the zone, or else from the store; returns how long to pause. */
+    private suspend fun readOnce(): Long {
+        val reader = readers.readerOrNull()
+        if (reader != null) {
+            val isAnswered = readFrom(reader.list, settings.peerWaitMillis)
+            readers.onAnswer(reader, isAnswered)
+            if (isAnswered) return settings.peerIntervalMillis
+        }
+        if (readFrom(store, settings.storeWaitMillis)) return settings.storeIntervalMillis
+        val limitMillis = (settings.firstRetryMillis shl failures.coerceAtMost(MAX_DOUBLINGS))
+        failures++
+        return minOf(limitMillis, settings.maxRetryMillis) / 2 + random.nextLong(settings.firstRetryMillis)
+    }
 
-    private suspend fun readChanges(fromOffset: Long): Boolean {
-        val changes = topic.changes(fromOffset, WAIT_MILLIS).getOrElse {
-            watch.onError(it)
-            return false
+    private suspend fun readFrom(source: TargetListSource, waitMillis: Long): Boolean {
+        val since = if (changes.whole() is ChangesSince.Known) {
+            source.since(changes.nextOffset, waitMillis).getOrElse { return false }
+        } else {
+            null
         }
-        val mayHaveLapsed = watch.wasLostWithin(LAPSE_WINDOW_MILLIS)
-        watch.onSuccess()
-        when (changes) {
-            is KeyedChanges.Records -> {
-                view.adopt(applyAll(changes.records, mayHaveLapsed))
-                nextOffset = changes.nextOffset
-            }
-
-            KeyedChanges.Expired -> nextOffset = null
+        val known = since?.changes as? ChangesSince.Known
+        if (known != null) {
+            take(changes.after(known, since.isEveryRecord), since)
+            return true
         }
+        return readWhole(source)
+    }
+
+    private fun ChangeLog<TargetEntry>.after(known: ChangesSince.Known<TargetEntry>, isEveryRecord: Boolean) =
+        if (isEveryRecord) {
+            advanced(known.changes, known.nextOffset)
+        } else {
+            merged(known.changes, known.nextOffset)
+        }
+
+    private suspend fun readWhole(source: TargetListSource): Boolean {
+        val listing = source.whole().getOrElse { return false }
+        val whole = listing.changes as? ChangesSince.Known ?: return false
+        if (whole.nextOffset < changes.nextOffset) return false
+        take(changes.replaced(whole.changes, whole.nextOffset), listing)
         return true
     }
 
-    private fun applyAll(records: List<KeyedRecord>, mayHaveLapsed: Boolean): EngineDirectory {
-        var known = view.directory
-        records.forEach { known = apply(known, it, mayHaveLapsed) }
-        return known
+    private fun take(newer: ChangeLog<TargetEntry>, listing: TargetListing) {
+        val before = changes
+        changes = newer
+        failures = 0
+        isRead = true
+        heldAtMillis = clock.nowMillis() - listing.ageMillis
+        mayHaveLapsed = listing.mayHaveLapsed
+        val changed = changedSince(before, newer)
+        if (changed.isNotEmpty() || !view.hasDirectory) adopt(changed)
+        onRead()
     }
 
-    private fun apply(known: EngineDirectory, record: KeyedRecord, mayHaveLapsed: Boolean): EngineDirectory {
+    private fun changedSince(before: ChangeLog<TargetEntry>, newer: ChangeLog<TargetEntry>) =
+        when (before.whole()) {
+            ChangesSince.Forgotten -> newer.whole()
+            is ChangesSince.Known -> newer.since(before.nextOffset)
+        }.let { (it as? ChangesSince.Known)?.changes.orEmpty() }
+
+    private fun adopt(changed: List<KeyChange<TargetEntry>>) {
         val nowMillis = clock.nowMillis()
-        if (record.value == null) {
-            if (!isIdentifier(record.key)) return known
+        val directory = view.directory
+        val usable = changed.filter { isIdentifier(it.key) }
+        usable.forEach { logChange(directory, it) }
+        view.adopt(directory.changed(usable.associate { TargetId(it.key) to it.value }, mayHaveLapsed, nowMillis))
+    }
+
+    private fun logChange(directory: EngineDirectory, change: KeyChange<TargetEntry>) {
+        val entry = change.value
+        if (entry == null) {
             log.write(
                 Event.TARGET_CHANGED,
-                field("target", record.key),
+                field("target", change.key),
                 field("state", "removed"),
                 field("mayHaveLapsed", mayHaveLapsed),
             )
-            return known.missing(TargetId(record.key), mayHaveLapsed, nowMillis)
+            return
         }
-        val entry = entryOrNull(record) ?: return known
-        logIfChanged(known.targets[entry.targetId]?.entry, entry)
-        return known.listed(entry, nowMillis)
-    }
-
-    private fun logIfChanged(before: TargetEntry?, entry: TargetEntry) {
+        val before = directory.targets[entry.targetId]?.entry
         if (before?.isDraining == entry.isDraining && before.bornEpochMillis == entry.bornEpochMillis) return
         log.write(
             Event.TARGET_CHANGED,
@@ -114,14 +170,7 @@
         )
     }
 
-    private fun entryOrNull(record: KeyedRecord): TargetEntry? {
-        val text = record.value?.decodeToString() ?: return null
-        val entry = parseTargetEntryOrNull(record.key, text)
-        if (entry == null) log.write(Event.DECLARATION_UNREADABLE, field("key", record.key))
-        return entry
+    private companion object {
+        const val MAX_DOUBLINGS = 8
     }
 }
-
-private fun FleetView.adoptIfChanged(changed: EngineDirectory) {
-    if (changed !== directory) adopt(changed)
-}
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
@@ -67,6 +67,13 @@
     group: EventLoopGroup,
     address: SocketAddressText,
     answer: (FullHttpRequest) -> SmallAnswer,
+): Channel = listenForHeldQuestions(group, address) { request, respond -> respond(answer(request)) }
+
+/** Answers short requests at [address] whenever [answer] responds, and returns the listening channel. */
+internal fun listenForHeldQuestions(
+    group: EventLoopGroup,
+    address: SocketAddressText,
+    answer: (FullHttpRequest, respond: (SmallAnswer) -> Unit) -> Unit,
 ): Channel =
     serverBootstrap(group)
         .childHandler(
@@ -81,10 +88,13 @@
         .bind(address.host, address.port).sync().channel()
 
 private class QuestionHandler(
-    private val answer: (FullHttpRequest) -> SmallAnswer,
+    private val answer: (FullHttpRequest, respond: (SmallAnswer) -> Unit) -> Unit,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        val reply = answer(request)
+        answer(request) { respond(context, it) }
+    }
+
+    private fun respond(context: ChannelHandlerContext, reply: SmallAnswer) {
         val content = Unpooled.wrappedBuffer(reply.content)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status, content)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -34,9 +34,9 @@
     /** Whether the store turns every call away. */
     public var isStoreDown: Boolean by store::isDown
 
-    /** Starts the store. */
-    public suspend fun start() {
-        storePort = serve { with(store) { addRoutes() } }
+    /** Starts the store, at [port] or at a free one if it is 0. */
+    public suspend fun start(port: Int = 0) {
+        storePort = serve(port) { with(store) { addRoutes() } }
     }
 
     /** Puts the operators' [document] in force. */
@@ -75,6 +75,9 @@
         store.write("keyed.servers", id, entry.toString())
     }
 
+    /** Writes the entries of all targets anew, as their heartbeats do. */
+    public fun listAll(): Unit = targets.keys.forEach { list(it) }
+
     /** Drops the entry of the target [id], as if it had left. */
     public fun unlist(id: String) {
         store.write("keyed.servers", id, null)
@@ -85,8 +88,8 @@
         targets.getValue(id).target.cutAfterEvents = events
     }
 
-    private suspend fun serve(routes: Route.() -> Unit): Int {
-        val server = embeddedServer(CIO, port = 0, host = host) { routing { routes() } }
+    private suspend fun serve(port: Int = 0, routes: Route.() -> Unit): Int {
+        val server = embeddedServer(CIO, port = port, host = host) { routing { routes() } }
         servers += server
         server.startSuspend(wait = false)
         return server.engine.resolvedConnectors().first().port
