Look less often, tell fewer VMs, spread hot beginnings, and end answers without end

Answers of plain services, single events, and answers of the store or another VM were kept in memory without a bound.

Ruled out: none tried besides.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -41,6 +41,9 @@
         return !isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || room.isModelLoading || isEntryDue
     }
 
+    /** Returns whether an order, a wish or a report of the engine is to come. */
+    public fun isBusy(nowMillis: Long): Boolean = outstanding != null || wishes.isNotEmpty() || needsReport(nowMillis)
+
     /**
      * Takes in the engine's report.
      *
--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -172,6 +172,9 @@
 
     private val membersById: Map<MemberId, MemberTerms> = members.values.associateBy { it.memberId }
 
+    /** The members whose requests are limited. */
+    public val limitedMembers: Set<MemberId> = membersById.filterValues { it.ratePerSecond != null }.keys
+
     /** The number of routes. */
     public val routeCount: Int = routes.size
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -73,8 +73,6 @@
 /** Topics whose partitions are divided among the VMs; more than there are VMs, so that each VM owns some. */
 private const val OWNERSHIP_TOPICS = 8
 
-/** How often waits, reports and deadlines of connections are looked at. */
-private const val TICK_MILLIS = 20L
 private const val SECOND_MILLIS = 1_000L
 
 /** Time between two words to the engines' owners on which copies are in use. */
@@ -149,7 +147,7 @@
     private val limits =
         MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
-    private val placement = TargetPlacement(view, clock, random)
+    private val placement = TargetPlacement(view, clock, random, { liveness.sharingVms().count })
     private val waitingRoom = WaitingRoom(placement, clock)
     private val retries = ServiceRetries(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
@@ -195,6 +193,7 @@
         clock,
         this,
     )
+    private val ticker = Ticker(loop, supervised("tick", ::tick), ::isBusy)
     private val connections = LinkedHashSet<CallerConnection>()
     private val ended = CountDownLatch(1)
     private lateinit var callerSocket: Channel
@@ -223,10 +222,14 @@
             onRequest = { exchange ->
                 shutdown.watch(exchange)
                 handler.onRequest(exchange)
+                ticker.wake()
             },
             connections = connections,
         )
-        peers.socket = PeerSocket(group, boot.address, boot.peerPort, peers::onDatagram)
+        peers.socket = PeerSocket(group, boot.address, boot.peerPort) { datagram, senderHost ->
+            peers.onDatagram(datagram, senderHost)
+            ticker.wake()
+        }
         listenForQuestions(group, boot.readinessAddress) { answerReadiness() }
         listenForQuestions(group, SocketAddressText(boot.address, boot.metricsPort)) {
             SmallAnswer(HttpResponseStatus.OK, metricsText(metrics.registry).encodeToByteArray())
@@ -258,7 +261,7 @@
         scope.launch { superviseForever("catalog") { catalogFollower.run() } }
         scope.launch { superviseForever("targets") { targetFollower.run() } }
         scope.launch { superviseForever("ownership") { ownership.run() } }
-        repeatEvery(TICK_MILLIS, supervised("tick", ::tick))
+        ticker.start()
         repeatEvery(USES_MILLIS, supervised("uses", peers::sendUses))
         repeatEvery(SECOND_MILLIS, supervised("second", ::tickSecond))
     }
@@ -295,6 +298,10 @@
         shutdown.tick()
     }
 
+    private fun isBusy(): Boolean =
+        waitingRoom.size > 0 || limits.isWaiting || copyRequests.isBusy || planner.isBusy || engines.isBusy ||
+            !shutdown.isServing
+
     private fun checkSuspension() {
         val gapMillis = suspension.takeGapMillis()
         if (gapMillis == 0L) return
@@ -308,6 +315,7 @@
         connections.toList().forEach { it.closeIfOverdue(nowMillis) }
         channels.closeStale()
         liveness.refresh()
+        liveness.setCollecting(allotments.collectors().any(ownership::isSelf))
         peers.sendHeartbeats()
         allotments.forgetForeign()
         engines.onDirectory()
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -84,6 +84,10 @@
     private val pending = LinkedHashMap<CopyName, PendingCopy>()
     private val declined = HashMap<Pair<CopyName, TargetId?>, Long>()
 
+    /** Whether copies are asked for that have not come. */
+    val isBusy: Boolean
+        get() = pending.isNotEmpty()
+
     /** Where questions go. */
     lateinit var questions: CopyQuestions
 
@@ -119,7 +123,7 @@
 
     /** An adapter whose model no engine holds waits for the model. */
     private fun wantModelFirst(need: TargetNeed, copy: CopyName): CopyOutlook {
-        val modelNeed = TargetNeed(need.service, copy.model, need.affinityKey, need.avoided)
+        val modelNeed = TargetNeed(need.service, copy.model, need.affinityKey, need.avoided, need.holdMillis)
         val outlook = want(modelNeed, emptyList())
         if (outlook !is CopyOutlook.Coming) return outlook
         return CopyOutlook.Coming(outlook.readyInMillis + ADAPTER_OUTLOOK_MILLIS)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -53,6 +53,10 @@
 ) {
     private val engines = HashMap<TargetId, OwnedEngine>()
 
+    /** Whether an engine of this VM has an order, a wish or a report to come. */
+    val isBusy: Boolean
+        get() = engines.values.any { it.steward.isBusy(clock.nowMillis()) }
+
     /** Called when this VM knows that one of its engines holds a copy that was wished for. */
     var onCopyReady: (KnownTarget, CopyName) -> Unit = { _, _ -> }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -52,6 +52,10 @@
 
     private var triedAtMillis = 0L
 
+    /** Whether loads run or wait for their turn. */
+    val isBusy: Boolean
+        get() = running.isNotEmpty() || queued.isNotEmpty()
+
     /** How owners and askers are reached. */
     lateinit var lines: PlannerLines
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/HttpExchangesOverChannels.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpExchangesOverChannels.kt
@@ -28,6 +28,7 @@
     ): Result<HttpExchangeReply, HttpExchangeFailure> {
         val collector = ReplyCollector()
         val attempt = channels.send(address, requestOf(address, call), { true }, collector)
+        collector.onTooLong = attempt::cancel
         val result = withTimeoutOrNull(call.timeoutMillis) { collector.result.await() }
         if (result != null) return result
         attempt.cancel()
@@ -52,16 +53,27 @@
     }
 }
 
+/** The store's pages have 1 MiB at most; a faulty server sends bytes until its connection is closed. */
+private const val MAX_REPLY_BYTES = 8 * 1024 * 1024
+
 private class ReplyCollector : AttemptListener {
     val result = CompletableDeferred<Result<HttpExchangeReply, HttpExchangeFailure>>()
     private val body = ByteArrayOutputStream()
     private var head: HttpResponse? = null
 
+    /** Called when the answer is too long to be kept. */
+    var onTooLong: () -> Unit = {}
+
     override fun onHead(response: HttpResponse) {
         head = response
     }
 
     override fun onBody(content: ByteBuf) {
+        if (body.size() + content.readableBytes() > MAX_REPLY_BYTES) {
+            onTooLong()
+            result.complete(Err(HttpExchangeFailure(wasSent = true, "an answer of more than $MAX_REPLY_BYTES bytes")))
+            return
+        }
         content.readBytes(body, content.readableBytes())
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
@@ -70,6 +70,10 @@
         return running.collector.onReport(from, report, vms, nowMillis)
     }
 
+    /** Returns the VMs that sum up the use of the members with a limit. */
+    fun collectors(): Set<Peer> =
+        view.catalog?.limitedMembers.orEmpty().mapNotNullTo(LinkedHashSet()) { ownership.ownerOrNull(keyOf(it)) }
+
     /** Forgets the collectors of members that other VMs own by now. */
     fun forgetForeign() {
         collectors.keys.removeIf { memberId -> ownership.ownerOrNull(keyOf(memberId))?.let(ownership::isSelf) == false }
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -50,9 +50,16 @@
         allotments.dueReports().forEach { (peer, reports) -> send(peer.host, reports = reports) }
     }
 
-    /** Tells all VMs that this one runs, and which catalog it follows; called about once a second. */
+    /**
+     * Tells those who must know that this VM runs, and which catalog it follows; called about once a second.
+     *
+     * Those are the VMs that sum up members' use, which leave a part of each limit to VMs that they don't hear, and the
+     * VMs of this zone.
+     */
     fun sendHeartbeats() {
-        others().forEach { send(it.host) }
+        val neighbours = others().filter { it.zoneId == self.zoneId }
+        val collectors = allotments.collectors().filterNot(ownership::isSelf)
+        (neighbours + collectors).distinct().forEach { send(it.host) }
     }
 
     /** Tells all VMs that this one leaves. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerLiveness.kt
@@ -29,6 +29,7 @@
     private val settings: LivenessSettings = LivenessSettings(),
 ) {
     private val known = HashMap<VmId, KnownPeer>()
+    private var collectsSinceMillis: Long? = null
 
     /** Notes that the VM [from] said something, and whether its place in the group is valid. */
     fun onHeard(from: Incarnation, isInGroup: Boolean) {
@@ -63,13 +64,23 @@
         if (known[from.vmId]?.incarnation == from) known -= from.vmId
     }
 
-    /** Returns the VMs that share the members' limits. */
+    /** Notes whether this VM sums up a member's use now, so that all VMs tell it that they run. */
+    fun setCollecting(isCollecting: Boolean) {
+        collectsSinceMillis = if (isCollecting) collectsSinceMillis ?: clock.nowMillis() else null
+    }
+
+    /**
+     * Returns the VMs that share the members' limits.
+     *
+     * A VM that has just begun to collect takes those for heard that had no reason to tell it anything before.
+     */
     fun sharingVms(): SharingVms {
         val nowMillis = clock.nowMillis()
+        val sinceMillis = collectsSinceMillis ?: nowMillis
         val others = known.values.filter { it.incarnation.vmId != self.incarnation.vmId }
         return SharingVms(
             others.map {
-                val isHeard = nowMillis - it.heardAtMillis <= settings.silenceMillis
+                val isHeard = nowMillis - maxOf(it.heardAtMillis, sinceMillis) <= settings.silenceMillis
                 SharingPeer(it.incarnation, isHeard, it.isInGroup)
             },
         )
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
@@ -16,6 +16,10 @@
     private var length = 0
     private var scanned = 0
 
+    /** How many bytes of an event that is not whole are kept. */
+    val partialBytes: Int
+        get() = length
+
     /** Whether bytes of an event that is not whole are left. */
     val hasPartialEvent: Boolean
         get() = length > 0
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
@@ -23,6 +23,10 @@
 ) {
     private val shares = HashMap<MemberId, LimitedMember>()
 
+    /** Whether requests wait for room in a limit. */
+    val isWaiting: Boolean
+        get() = shares.values.any { it.waiting.isNotEmpty() }
+
     /** Decides on [request] of a member with [terms], now or when there is room or the wait is over. */
     fun submit(terms: MemberTerms, request: LimitedRequest, nowMillis: Long) {
         val limited = limitedOrNull(terms, nowMillis) ?: return request.onDecision(RateDecision.Admitted)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -98,10 +98,12 @@
         if (isSettled) return
         if (!isStreaming) return collect(content)
         events.add(content) { event -> if (!isSettled) receiver.onStreamPart(this, event) }
+        if (events.partialBytes > MAX_EVENT_BYTES) giveUpEndless("an event")
     }
 
     private fun collect(content: ByteBuf) {
         val collected = body ?: Unpooled.compositeBuffer(MAX_PARTS).also { body = it }
+        if (collected.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) return giveUpEndless("an answer")
         collected.addComponent(true, content.retain())
     }
 
@@ -141,6 +143,15 @@
         }
     }
 
+    /** Ends an attempt whose answer can't be kept: a faulty target sends bytes until its connection is closed. */
+    private fun giveUpEndless(what: String) {
+        settle()
+        attempt?.cancel()
+        noteFailure()
+        fail(AttemptEvidence.UNKNOWN, "$what without end")
+        environment.waitingRoom.serve()
+    }
+
     private fun takeAnswer(): TargetAnswer {
         val content = body ?: Unpooled.EMPTY_BUFFER
         body = null
@@ -200,6 +211,10 @@
         const val FIRST_SERVER_ERROR = 500
         const val MAX_PARTS = 1_024
 
+        /** Answers and single events beyond these sizes are not kept in memory. */
+        const val MAX_ANSWER_BYTES = 4 * 1024 * 1024
+        const val MAX_EVENT_BYTES = 1024 * 1024
+
         /** Twice the time limit of a try to connect. */
         const val MAX_CONNECT_MILLIS = 800L
         val SUCCESS = 200..299
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -63,7 +63,7 @@
         get() = life.request.requestId.value
 
     override val need: TargetNeed
-        get() = TargetNeed(service, copy, affinityKey, avoided)
+        get() = TargetNeed(service, copy, affinityKey, avoided, times.wholeAnswerMillis())
 
     private fun requestId() = RequestId(
         admission.call.attemptId?.takeIf {
@@ -83,7 +83,10 @@
     /** Begins to serve the request. */
     fun start() {
         exchange.listener = this
-        copy?.let { environment.view.noteDemand(service, it) }
+        copy?.let {
+            environment.view.noteDemand(service, it)
+            environment.placement.noteArrival(need)
+        }
         handle(RequestEvent.Started)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -3,6 +3,7 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.mixedHash
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.routing.AffinitySpread
 import org.banyanturn.core.routing.CircuitState
 import org.banyanturn.core.routing.CopyChooser
 import org.banyanturn.core.routing.CopyChooserSettings
@@ -14,12 +15,18 @@
 import org.banyanturn.daemon.ProcessClock
 import kotlin.random.Random
 
-/** What a request needs of a target. */
+/**
+ * What a request needs of a target.
+ *
+ * @property affinityKey requests with the same key go to the same targets first.
+ * @property holdMillis how long the request is expected to take a slot there.
+ */
 internal class TargetNeed(
     val service: ServiceName,
     val copy: CopyName?,
     val affinityKey: String,
     val avoided: Set<TargetId>,
+    val holdMillis: Long,
 )
 
 /** Where a request may go now. */
@@ -48,9 +55,15 @@
     private val view: FleetView,
     private val clock: ProcessClock,
     private val random: Random,
+    private val vmCount: () -> Int,
     private val engineChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchMillis = 1.0)),
     private val serviceChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchMillis = 4.0)),
 ) {
+    private val spread = AffinitySpread()
+
+    /** Notes that a request with [need] has arrived. */
+    fun noteArrival(need: TargetNeed): Unit = spread.record(need.affinityKey, clock.nowMillis())
+
     /** Returns where a request with [need] may go now. */
     fun place(need: TargetNeed): Placement {
         val serving = view.servingTargets(need.service)
@@ -73,7 +86,7 @@
 
     private fun choose(targets: List<KnownTarget>, need: TargetNeed): Placement {
         val nowMillis = clock.nowMillis()
-        val favourite = if (need.copy == null) null else favouriteOf(targets, need.affinityKey)
+        val favourite = if (need.copy == null) null else favouriteOf(targets, need, nowMillis)
         val ready = targets.map { target ->
             val state = view.stateOf(target)
             ReadyTarget(
@@ -94,7 +107,17 @@
         return Placement.Send(targets.first { it.entry.targetId == chosen.targetId })
     }
 
-    /** Returns the target at which every VM sends requests with this key first, by rendezvous hashing. */
-    private fun favouriteOf(targets: List<KnownTarget>, key: String): KnownTarget? =
-        stableHash(key).let { hash -> targets.maxByOrNull { mixedHash(hash, view.stateOf(it).hash) } }
+    /**
+     * Returns one of the targets to which every VM sends requests with this key first, by rendezvous hashing.
+     *
+     * There are as many of them as it takes for the requests with this key.
+     */
+    private fun favouriteOf(targets: List<KnownTarget>, need: TargetNeed, nowMillis: Long): KnownTarget? {
+        val slots = targets.minOfOrNull { it.entry.slots } ?: return null
+        val hash = stableHash(need.affinityKey)
+        val count = spread.targetsFor(need.affinityKey, vmCount(), need.holdMillis, slots, nowMillis)
+        if (count == 1) return targets.maxByOrNull { mixedHash(hash, view.stateOf(it).hash) }
+        val first = targets.sortedByDescending { mixedHash(hash, view.stateOf(it).hash) }.take(count)
+        return first[random.nextInt(first.size)]
+    }
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryProcessTest.kt
@@ -231,6 +231,23 @@
         assertTrue("not-run" in refused.body())
     }
 
+    @Test
+    fun `an answer or an event without end is given up, and the VM serves on`() {
+        startWhole()
+        platform.declare(hostedDocument(version = 2))
+        awaitTrue("the routes are known") { send("/open/1", "Attempt-Id", "o").statusCode() == 200 }
+        listOf("i-1", "i-2", "i-3").forEach(platform::answerWithoutEnd)
+        val booked = send("/book/1", "Authorization", "Bearer k1", "Attempt-Id", "b-1")
+        assertEquals(502, booked.statusCode())
+        assertTrue("unknown" in booked.body(), "a booking that was sent may have run: ${booked.body()}")
+        assertEquals(1, platform.runs.count { it.attemptId == "b-1" })
+        val notes = runCatching {
+            send("/notes/1", "Authorization", "Bearer k1", "Attempt-Id", "n-1", "Model", "m0").statusCode()
+        }
+        assertTrue(notes.getOrDefault(502) != 200, "no success without the engine's whole answer: $notes")
+        assertEquals(200, ready())
+    }
+
     @Test
     fun `a VM that knows no catalog is not ready and answers 503 with a time to return`() = runBlocking {
         platform.start()
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
@@ -13,6 +13,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.route
+import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
@@ -63,6 +64,10 @@
     @Volatile
     var cutAfterEvents: Int? = null
 
+    /** Answers requests with bytes that never end. */
+    @Volatile
+    var answersWithoutEnd = false
+
     /** Adds the target's calls. */
     fun Route.addRoutes() {
         get("/health") {
@@ -156,9 +161,20 @@
         }
         runs += HostedRun(targetId, attemptId, call.request.header("Tenant"), call.request.uri, call.receiveText())
         call.response.header("Server-Seal", "seal-$targetId")
+        if (answersWithoutEnd) return sendForEver(call)
         if (isEngine) stream(call) else call.respondText("done by $targetId")
     }
 
+    private suspend fun sendForEver(call: ApplicationCall) {
+        val bytes = ByteArray(ENDLESS_PART_BYTES) { 'x'.code.toByte() }
+        call.respondBytesWriter(ContentType.Application.OctetStream) {
+            while (!isClosedForWrite) {
+                writeFully(bytes)
+                flush()
+            }
+        }
+    }
+
     private suspend fun stream(call: ApplicationCall) {
         val first = (call.request.header("Last-Event-Id")?.toIntOrNull() ?: 0) + 1
         call.respondBytesWriter(ContentType.Text.EventStream) {
@@ -177,6 +193,7 @@
     private fun nowMillis(): Long = System.nanoTime() / 1_000_000
 
     private companion object {
+        const val ENDLESS_PART_BYTES = 65_536
         const val STATUS_OK = 200
         const val STATUS_ACCEPTED = 202
         const val STATUS_CONFLICT = 409
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -88,6 +88,11 @@
         targets.getValue(id).target.cutAfterEvents = events
     }
 
+    /** Lets the target [id] answer every request from now on with bytes that never end. */
+    public fun answerWithoutEnd(id: String) {
+        targets.getValue(id).target.answersWithoutEnd = true
+    }
+
     private suspend fun serve(port: Int = 0, routes: Route.() -> Unit): Int {
         val server = embeddedServer(CIO, port = port, host = host) { routing { routes() } }
         servers += server
