Pace the planner's looks, and wait for a planner that is slow to answer

What owners of engines answered was read too late as well, and the same load was ordered elsewhere.

Change: one look answers for all that has come since the last (LookPacer), and a VM on which looks take long looks less often; a question to a planner is repeated at doubled intervals and stands for 2 s; an owner is passed over after six words without an answer, not after a time in which the planner itself stalled; until the planner has answered, a load is foreseen from a host's disk, so that requests with short limits are not refused before anything is known. The first list of targets is one log line; pauses between tries of the store are shared (RetryPause), and so is the codec of words between VMs.

Ruled out: the planner's place (it held its lease and planned 89 loads by second 3.5); lost datagrams (repeats came).

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -79,6 +79,9 @@
     /** This VM gets the platform's lists from another source. */
     READER_CHANGED(1119, Level.INFO, "the platform's lists are read from another source"),
 
+    /** The list of targets was read for the first time. */
+    TARGETS_LISTED(1120, Level.INFO, "the list of targets is known"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -133,7 +133,7 @@
     )
     private val readers = ZoneReaders(self, ownership::peers, ::targetListOf, clock, log)
     private val catalogFollower =
-        CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log, readers.readsStore)
+        CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log, readers.readsStore, random)
     private val targetFollower = TargetFollower(
         StoredTargetList(store.targets, StoreWatch("targets", clock, log), log),
         readers,
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -18,15 +18,17 @@
 /**
  * Times of asking for copies.
  *
- * @property repeatMillis after what time an unanswered question is sent again.
- * @property giveUpMillis after what time a VM that does not answer is passed over.
+ * @property repeatMillis after what time an unanswered question is sent again; doubled with each time.
+ * @property ownerGiveUpMillis after what time an owner of an engine that does not answer is passed over for another.
+ * @property plannerGiveUpMillis the same for a planner, which no other VM can stand in for.
  * @property marginMillis how long after the promised time an adapter may still come.
  * @property modelMarginMillis the same for a model.
  * @property declinedMillis how long a question that was declined is not asked again.
  */
 internal data class CopyRequestSettings(
     val repeatMillis: Long = 40,
-    val giveUpMillis: Long = 250,
+    val ownerGiveUpMillis: Long = 250,
+    val plannerGiveUpMillis: Long = 2_000,
     val marginMillis: Long = 1_500,
     val modelMarginMillis: Long = 1_500,
     val declinedMillis: Long = 300,
@@ -35,6 +37,9 @@
 /** Load of a missing adapter as it is foreseen: two hops to the owner and back, an unload and a load. */
 private const val ADAPTER_OUTLOOK_MILLIS = 40L
 
+/** Time to make room for a model, as it is foreseen until the planner has answered. */
+private const val MAKE_ROOM_OUTLOOK_MILLIS = 500L
+
 /** Why a model is asked for again that was promised and has not come. */
 private const val OVERDUE = "overdue"
 
@@ -107,9 +112,10 @@
 
     private fun askPlanner(need: TargetNeed, copy: CopyName): CopyOutlook {
         if (isDeclined(copy, null)) return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
-        val loadMillis = specOf(need.service)?.models?.get(copy.modelId)?.loadMillis
+        val model = specOf(need.service)?.models?.get(copy.modelId)
             ?: return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
-        return ask(copy, PendingCopy(numbers.next(), need, targetId = null, clock.nowMillis(), loadMillis))
+        val foreseenMillis = model.diskLoadMillis + MAKE_ROOM_OUTLOOK_MILLIS
+        return ask(copy, PendingCopy(numbers.next(), need, targetId = null, clock.nowMillis(), foreseenMillis))
     }
 
     private fun askOwner(need: TargetNeed, copy: CopyName, modelHolders: List<KnownTarget>): CopyOutlook {
@@ -201,12 +207,20 @@
             when {
                 nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, OVERDUE)
                 asked.isAnswered -> Unit
-                nowMillis - asked.askedAtMillis > settings.giveUpMillis -> decline(copy, asked, "no_answer")
-                nowMillis - asked.sentAtMillis > settings.repeatMillis -> sendQuestion(copy, asked)
+                nowMillis - asked.askedAtMillis > giveUpMillis(asked) -> decline(copy, asked, "no_answer")
+                nowMillis - asked.sentAtMillis > settings.repeatMillis shl asked.repeats -> repeat(copy, asked)
             }
         }
     }
 
+    private fun giveUpMillis(asked: PendingCopy): Long =
+        if (asked.targetId == null) settings.plannerGiveUpMillis else settings.ownerGiveUpMillis
+
+    private fun repeat(copy: CopyName, asked: PendingCopy) {
+        asked.repeats++
+        sendQuestion(copy, asked)
+    }
+
     private fun marginMillis(copy: CopyName): Long =
         if (copy.isAdapter) settings.marginMillis else settings.modelMarginMillis
 
@@ -234,6 +248,7 @@
     var sentAtMillis = askedAtMillis
     var expectedMillis = askedAtMillis + expectedInMillis
     var isAnswered = false
+    var repeats = 0
 
     fun outlook(nowMillis: Long): CopyOutlook = CopyOutlook.Coming((expectedMillis - nowMillis).coerceAtLeast(1))
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -4,6 +4,7 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.placement.LoadPlan
+import org.banyanturn.core.placement.LookPacer
 import org.banyanturn.core.placement.ModelPlanner
 import org.banyanturn.core.placement.ModelPlannerSettings
 import org.banyanturn.core.placement.PlannedEngine
@@ -20,9 +21,11 @@
 /** Time beyond the pure load until a report has told of the copy. */
 private const val REPORT_MARGIN_MILLIS = 400L
 
-/** Time after which an owner that does not answer is asked again, and after which it is passed over. */
+/** Time after which an owner that does not answer is asked again. */
 private const val REPEAT_MILLIS = 40L
-private const val GIVE_UP_MILLIS = 250L
+
+/** Words without an answer after which an owner is passed over; a VM that stalls itself has sent none meanwhile. */
+private const val MAX_SENDS = 6
 
 /** Time between two looks for an engine that has become free for what waits. */
 private const val TRY_MILLIS = 100L
@@ -50,11 +53,14 @@
     private val running = LinkedHashMap<Long, RunningPlan>()
     private val queued = HashMap<Pair<ServiceName, ModelId>, QueuedAskers>()
 
+    private val pacer = LookPacer()
+    private val servicesToLook = LinkedHashSet<ServiceName>()
+    private var isLooking = false
     private var triedAtMillis = 0L
 
     /** Whether loads run or wait for their turn. */
     val isBusy: Boolean
-        get() = running.isNotEmpty() || queued.isNotEmpty()
+        get() = running.isNotEmpty() || queued.isNotEmpty() || servicesToLook.isNotEmpty()
 
     /** How owners and askers are reached. */
     lateinit var lines: PlannerLines
@@ -69,7 +75,7 @@
         val holder = holderOrNull(service, copy)
         if (holder != null) return lines.answer(asker, CopyAnswer(asker.number, 0, holder, reason = ""))
         plannerOf(service).noteMiss(copy.modelId, clock.nowMillis())
-        startNext(service)
+        requestLook(service)
         val known = plansFor(service, copy.modelId).minByOrNull { it.expectedMillis }
             ?: return queue(service, copy, asker)
         known.askers += asker
@@ -92,8 +98,28 @@
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
         view.servingTargets(service).firstOrNull { view.holds(it, copy) }?.entry?.targetId
 
-    /** Starts the loads that gain most, as many as may run; called about once a second and after each change. */
-    fun startNext(service: ServiceName) {
+    /** Looks for what to load for [service], at once or as soon as it is time for another look. */
+    private fun requestLook(service: ServiceName) {
+        servicesToLook += service
+        lookIfDue()
+    }
+
+    private fun lookIfDue() {
+        val startMillis = clock.nowMillis()
+        if (isLooking || servicesToLook.isEmpty() || !pacer.mayLook(startMillis)) return
+        isLooking = true
+        try {
+            val services = servicesToLook.toList()
+            servicesToLook.clear()
+            services.forEach(::startNext)
+        } finally {
+            isLooking = false
+            pacer.onLooked(startMillis, clock.nowMillis())
+        }
+    }
+
+    /** Starts the loads that gain most, as many as may run. */
+    private fun startNext(service: ServiceName) {
         val spec = view.catalog?.services?.get(service)?.engine ?: return
         val planner = plannerOf(service)
         repeat(MAX_STARTS) {
@@ -133,6 +159,7 @@
 
     private fun send(plan: RunningPlan) {
         plan.sentAtMillis = clock.nowMillis()
+        plan.sends++
         if (!lines.order(plan.number, plan.plan)) onDeclined(plan, "no_owner")
     }
 
@@ -157,7 +184,7 @@
         plannerOf(plan.service).ended(plan.plan, wasDeclined = false, clock.nowMillis())
         val askers = plan.askers + plansFor(plan.service, copy.modelId).flatMap { it.takeAskers() }
         askers.forEach { lines.answer(it, CopyAnswer(it.number, 0, targetId, reason = "")) }
-        startNext(plan.service)
+        requestLook(plan.service)
     }
 
     private fun onDeclined(plan: RunningPlan, reason: String) {
@@ -183,19 +210,21 @@
     fun startDue(isPlanner: (ServiceName) -> Boolean) {
         view.catalog?.services.orEmpty().values
             .filter { it.engine != null && isPlanner(it.name) }
-            .forEach { startNext(it.name) }
+            .forEach { requestLook(it.name) }
     }
 
     /** Repeats orders that got no answer, and starts loads whose turn has come; called every few milliseconds. */
     fun tick() {
         val nowMillis = clock.nowMillis()
         if (nowMillis - triedAtMillis >= TRY_MILLIS) startQueued(nowMillis)
+        lookIfDue()
         running.values.toList().forEach { plan ->
             when {
                 nowMillis > plan.expectedMillis + plan.graceMillis -> onDeclined(plan, "overdue")
                 plan.isAnswered -> Unit
-                nowMillis - plan.startedAtMillis > GIVE_UP_MILLIS -> onDeclined(plan, "no_answer")
-                nowMillis - plan.sentAtMillis > REPEAT_MILLIS -> send(plan)
+                nowMillis - plan.sentAtMillis <= REPEAT_MILLIS -> Unit
+                plan.sends >= MAX_SENDS -> onDeclined(plan, "no_answer")
+                else -> send(plan)
             }
         }
     }
@@ -203,7 +232,7 @@
     private fun startQueued(nowMillis: Long) {
         triedAtMillis = nowMillis
         queued.values.removeIf { nowMillis - it.askedAtMillis > ModelPlannerSettings().wantedMillis }
-        queued.keys.mapTo(LinkedHashSet()) { (service, _) -> service }.forEach(::startNext)
+        queued.keys.mapTo(LinkedHashSet()) { (service, _) -> service }.forEach(::requestLook)
     }
 
     private fun plannerOf(service: ServiceName): ModelPlanner = planners.getOrPut(service) { ModelPlanner() }
@@ -230,6 +259,7 @@
 ) {
     val askers = LinkedHashSet<Asker>()
     var sentAtMillis = startedAtMillis
+    var sends = 0
     var expectedMillis = startedAtMillis
     var isAnswered = false
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -14,12 +14,11 @@
 import org.banyanturn.platform.KeyedTopic
 import org.banyanturn.platform.hosted.CATALOG_KEY
 import org.banyanturn.platform.hosted.parseCatalog
+import kotlin.random.Random
 
 /** How long a read waits for a change; a connection that went silent is noticed after it. */
 private const val WAIT_MILLIS = 1_500L
 
-private const val RETRY_MILLIS = 200L
-
 /**
  * Keeps the catalog of [view] up to date from the platform's store; it never moves to an older version.
  *
@@ -31,7 +30,9 @@
     private val watch: StoreWatch,
     private val log: DecisionLog,
     private val readsStore: StateFlow<Boolean>,
+    random: Random,
 ) {
+    private val retry = RetryPause(random)
     private var nextOffset: Long? = null
 
     /** The document of the catalog in force, for peers that can't reach the store; `null` while there is none. */
@@ -50,7 +51,7 @@
         while (true) {
             if (nextOffset != null) readsStore.first { it }
             val isRead = nextOffset?.let { readChanges(it) } ?: readSnapshot()
-            if (!isRead) delay(RETRY_MILLIS)
+            if (isRead) retry.reset() else delay(retry.nextMillis())
         }
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/FeedPage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/FeedPage.kt
@@ -4,8 +4,6 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
 import org.banyanturn.core.AdapterId
 import org.banyanturn.core.ModelId
@@ -17,6 +15,8 @@
 import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.core.serving.TargetEntry
+import org.banyanturn.entry.decodeMessageOrNull
+import org.banyanturn.entry.encodeMessage
 
 /**
  * What one VM tells another of the list of targets.
@@ -88,8 +88,6 @@
         HeldModel(ModelId(modelId), weightsVersion, adapterIds.mapTo(LinkedHashSet(), ::AdapterId))
 }
 
-private val protoBuf = ProtoBuf { encodeDefaults = false }
-
 /** Returns the bytes of this listing, with the version of the catalog that the sender follows. */
 internal fun TargetListing.encode(catalogVersion: Long): ByteArray {
     val known = changes as? ChangesSince.Known
@@ -101,7 +99,7 @@
         catalogVersion = catalogVersion,
         changes = known?.changes.orEmpty().map { EntryChangeMessage(it.key, it.offset, it.value?.toMessage()) },
     )
-    return protoBuf.encodeToByteArray(FeedPage.serializer(), page)
+    return encodeMessage(FeedPage.serializer(), page)
 }
 
 private fun TargetEntry.toMessage(): TargetEntryMessage =
@@ -121,14 +119,4 @@
     )
 
 /** Returns the page in [bytes], or `null` if it can't be read. */
-internal fun decodeFeedPageOrNull(bytes: ByteArray): FeedPage? =
-    try {
-        protoBuf.decodeFromByteArray(FeedPage.serializer(), bytes)
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    } catch (_: IndexOutOfBoundsException) {
-        // The library checks no length that a broken page names.
-        null
-    }
+internal fun decodeFeedPageOrNull(bytes: ByteArray): FeedPage? = decodeMessageOrNull(FeedPage.serializer(), bytes)
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
@@ -23,15 +23,12 @@
  * @property storeWaitMillis how long a read of the store waits for a change.
  * @property peerIntervalMillis time between two questions to another VM, which answers when something changes.
  * @property peerWaitMillis how long such a question waits for a change.
- * @property firstRetryMillis time after a first failure until the next try; doubled with each failure in a row.
  */
 internal data class TargetFollowerSettings(
     val storeIntervalMillis: Long = 500,
     val storeWaitMillis: Long = 500,
     val peerIntervalMillis: Long = 100,
     val peerWaitMillis: Long = 700,
-    val firstRetryMillis: Long = 200,
-    val maxRetryMillis: Long = 800,
 )
 
 /** Keeps the list of targets of [view] up to date, from the platform's store or from the VM that reads it. */
@@ -41,13 +38,13 @@
     private val view: FleetView,
     private val clock: ProcessClock,
     private val log: DecisionLog,
-    private val random: Random,
+    random: Random,
     private val settings: TargetFollowerSettings = TargetFollowerSettings(),
 ) {
+    private val retry = RetryPause(random)
     private var changes = ChangeLog.empty<TargetEntry>()
     private var isRead = false
     private var heldAtMillis = 0L
-    private var failures = 0
 
     /** Called after each read. */
     var onRead: () -> Unit = {}
@@ -87,9 +84,7 @@
             if (isAnswered) return settings.peerIntervalMillis
         }
         if (readFrom(store, settings.storeWaitMillis)) return settings.storeIntervalMillis
-        val limitMillis = (settings.firstRetryMillis shl failures.coerceAtMost(MAX_DOUBLINGS))
-        failures++
-        return minOf(limitMillis, settings.maxRetryMillis) / 2 + random.nextLong(settings.firstRetryMillis)
+        return retry.nextMillis()
     }
 
     private suspend fun readFrom(source: TargetListSource, waitMillis: Long): Boolean {
@@ -124,7 +119,7 @@
     private fun take(newer: ChangeLog<TargetEntry>, listing: TargetListing) {
         val before = changes
         changes = newer
-        failures = 0
+        retry.reset()
         isRead = true
         heldAtMillis = clock.nowMillis() - listing.ageMillis
         mayHaveLapsed = listing.mayHaveLapsed
@@ -143,7 +138,11 @@
         val nowMillis = clock.nowMillis()
         val directory = view.directory
         val usable = changed.filter { isIdentifier(it.key) }
-        usable.forEach { logChange(directory, it) }
+        if (view.hasDirectory) {
+            usable.forEach { logChange(directory, it) }
+        } else {
+            log.write(Event.TARGETS_LISTED, field("targets", usable.size), field("nextOffset", known.nextOffset))
+        }
         view.adopt(directory.changed(usable.associate { TargetId(it.key) to it.value }, mayHaveLapsed, nowMillis))
     }
 
@@ -169,8 +168,4 @@
             field("remainingMillis", entry.remainingMillis),
         )
     }
-
-    private companion object {
-        const val MAX_DOUBLINGS = 8
-    }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -4,9 +4,9 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
+import org.banyanturn.entry.decodeMessageOrNull
+import org.banyanturn.entry.encodeMessage
 
 /** What one VM tells another in one datagram; it may be lost, late, repeated or overtaken. */
 @Serializable
@@ -90,20 +90,9 @@
     @ProtoNumber(4) val adapterId: String = "",
 )
 
-private val protoBuf = ProtoBuf { encodeDefaults = false }
-
 /** Returns the bytes of this datagram. */
-internal fun PeerDatagram.encode(): ByteArray = protoBuf.encodeToByteArray(PeerDatagram.serializer(), this)
+internal fun PeerDatagram.encode(): ByteArray = encodeMessage(PeerDatagram.serializer(), this)
 
 /** Returns the datagram in [bytes], or `null` if it can't be read. */
 internal fun decodePeerDatagramOrNull(bytes: ByteArray): PeerDatagram? =
-    try {
-        protoBuf.decodeFromByteArray(PeerDatagram.serializer(), bytes)
-    } catch (_: SerializationException) {
-        null
-    } catch (_: IllegalArgumentException) {
-        null
-    } catch (_: IndexOutOfBoundsException) {
-        // The library checks no length that a broken datagram names.
-        null
-    }
+    decodeMessageOrNull(PeerDatagram.serializer(), bytes)
