Assemble what follows the platform's lists in one place, and keep one decaying sum

Ruled out: one mechanism for repeated questions in CopyRequests and PlannerDesk, which give up by different measures on purpose (time at an asker, sends at a planner that may have stalled); splitting ServedRequest further, since its parts share the life of one request.

--- a/core/src/main/kotlin/org/banyanturn/core/limits/DemandMeter.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/DemandMeter.kt
@@ -1,6 +1,6 @@
 package org.banyanturn.core.limits
 
-import kotlin.math.exp
+import org.banyanturn.core.DecayingSum
 
 private const val AVERAGING_MILLIS = 1_000.0
 private const val MILLIS_PER_SECOND = 1_000.0
@@ -8,8 +8,7 @@
 
 /** Estimates the cost units a second that arrive for one member, with exponentially decaying weights. */
 internal class DemandMeter {
-    private var decayedCost = 0.0
-    private var updatedAtMillis = 0L
+    private val arrivedCost = DecayingSum(AVERAGING_MILLIS)
 
     /** Average cost of a request. */
     var averageCost = 0.0
@@ -20,21 +19,11 @@
         private set
 
     fun record(cost: Double, nowMillis: Long) {
-        decay(nowMillis)
-        decayedCost += cost
+        arrivedCost.add(cost, nowMillis)
         averageCost = if (lastArrivalMillis == null) cost else averageCost + COST_WEIGHT * (cost - averageCost)
         lastArrivalMillis = nowMillis
     }
 
     /** Returns the estimate at [nowMillis] in cost units a second. */
-    fun ratePerSecond(nowMillis: Long): Double {
-        decay(nowMillis)
-        return decayedCost * MILLIS_PER_SECOND / AVERAGING_MILLIS
-    }
-
-    private fun decay(nowMillis: Long) {
-        if (nowMillis <= updatedAtMillis) return
-        decayedCost *= exp(-(nowMillis - updatedAtMillis) / AVERAGING_MILLIS)
-        updatedAtMillis = nowMillis
-    }
+    fun ratePerSecond(nowMillis: Long): Double = arrivedCost.perMilliAt(nowMillis) * MILLIS_PER_SECOND
 }
--- a/core/src/main/kotlin/org/banyanturn/core/routing/AffinitySpread.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/AffinitySpread.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.core.routing
 
+import org.banyanturn.core.DecayingSum
 import kotlin.math.ceil
 import kotlin.math.exp
 
@@ -54,26 +55,15 @@
     }
 }
 
-/** Arrivals a millisecond, averaged with weights that decay; corrected for the time since the first one. */
+/** Arrivals a millisecond, corrected for the time since the first one. */
 private class ArrivalRate(private val averagingMillis: Double, private val startMillis: Long) {
-    private var weight = 0.0
-    private var updatedAtMillis = startMillis
+    private val arrivals = DecayingSum(averagingMillis)
 
-    fun record(nowMillis: Long) {
-        decay(nowMillis)
-        weight += 1.0
-    }
+    fun record(nowMillis: Long): Unit = arrivals.add(1.0, nowMillis)
 
     fun perMilliAt(nowMillis: Long): Double {
-        decay(nowMillis)
         val seen = 1.0 - exp(-(nowMillis - startMillis) / averagingMillis)
-        return weight / averagingMillis / maxOf(seen, LEAST_SEEN)
-    }
-
-    private fun decay(nowMillis: Long) {
-        if (nowMillis <= updatedAtMillis) return
-        weight *= exp(-(nowMillis - updatedAtMillis) / averagingMillis)
-        updatedAtMillis = nowMillis
+        return arrivals.perMilliAt(nowMillis) / maxOf(seen, LEAST_SEEN)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -25,19 +24,11 @@
 import org.banyanturn.entry.copies.OwnerSettings
 import org.banyanturn.entry.copies.PlannerDesk
 import org.banyanturn.entry.copies.WaitingNeeds
-import org.banyanturn.entry.follow.CATALOG_PATH
-import org.banyanturn.entry.follow.CatalogFollower
-import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.OwnershipSettings
 import org.banyanturn.entry.follow.Peer
-import org.banyanturn.entry.follow.PeerTargetList
+import org.banyanturn.entry.follow.PlatformLists
 import org.banyanturn.entry.follow.StoreWatch
-import org.banyanturn.entry.follow.StoredTargetList
-import org.banyanturn.entry.follow.TARGET_FEED_PATH
-import org.banyanturn.entry.follow.TargetFeed
-import org.banyanturn.entry.follow.TargetFollower
-import org.banyanturn.entry.follow.ZoneReaders
 import org.banyanturn.entry.http.CallerConnection
 import org.banyanturn.entry.http.CallerConnectionContext
 import org.banyanturn.entry.http.HttpExchangesOverChannels
@@ -131,18 +122,8 @@
         clock = clock,
         log = log,
     )
-    private val readers = ZoneReaders(self, ownership::peers, ::targetListOf, clock, log)
-    private val catalogFollower =
-        CatalogFollower(store.declarations, view, StoreWatch("catalog", clock, log), log, readers.readsStore, random)
-    private val targetFollower = TargetFollower(
-        StoredTargetList(store.targets, StoreWatch("targets", clock, log), log),
-        readers,
-        view,
-        clock,
-        log,
-        random,
-    )
-    private val targetFeed = TargetFeed(targetFollower, catalogFollower::isFollowed, ::catalogVersion, clock)
+    private val lists =
+        PlatformLists(self, ownership, store, boot.relayPort, exchanges, view, scope, clock, log, random)
     private val liveness = PeerLiveness(ownership, self, clock)
     private val limits =
         MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_ALLOTMENT_FRACTION)
@@ -175,10 +156,8 @@
             metrics, random,
         ),
     )
-    private val relay: CatalogRelay =
-        CatalogRelay(self, boot.relayPort, exchanges, catalogFollower, view, scope, clock) { readers.readsStore.value }
     private val peers =
-        PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, relay, crashes)
+        PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, lists.relay, crashes)
     private val waitingNeeds = object : WaitingNeeds {
         override fun needOrNull(copy: CopyName): TargetNeed? = waitingRoom.needOrNull(copy)
 
@@ -234,23 +213,10 @@
         listenForQuestions(group, SocketAddressText(boot.address, boot.metricsPort)) {
             SmallAnswer(HttpResponseStatus.OK, metricsText(metrics.registry).encodeToByteArray())
         }
-        listenForHeldQuestions(group, SocketAddressText(boot.address, boot.relayPort), ::answerPeer)
+        listenForHeldQuestions(group, SocketAddressText(boot.address, boot.relayPort), lists::answer)
         callerSocket = listenForCallers(group, boot.callerAddress, shared)
     }
 
-    private fun answerPeer(request: FullHttpRequest, respond: (SmallAnswer) -> Unit) {
-        when (request.uri().substringBefore('?')) {
-            CATALOG_PATH -> respond(relay.answer())
-            TARGET_FEED_PATH -> targetFeed.answer(request, respond)
-            else -> respond(SmallAnswer(HttpResponseStatus.NOT_FOUND))
-        }
-    }
-
-    private fun targetListOf(peer: Peer): PeerTargetList =
-        PeerTargetList(SocketAddressText(peer.host, boot.relayPort), exchanges, relay::onVersion)
-
-    private fun catalogVersion(): Long = view.catalog?.version ?: -1
-
     private fun answerReadiness(): SmallAnswer {
         val isReady = shutdown.isServing && view.catalog != null && view.hasDirectory
         return SmallAnswer(if (isReady) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE)
@@ -258,8 +224,7 @@
 
     private fun startWork() {
         connectParts()
-        scope.launch { superviseForever("catalog") { catalogFollower.run() } }
-        scope.launch { superviseForever("targets") { targetFollower.run() } }
+        lists.start()
         scope.launch { superviseForever("ownership") { ownership.run() } }
         ticker.start()
         repeatEvery(USES_MILLIS, supervised("uses", peers::sendUses))
@@ -280,8 +245,6 @@
         engines.onCopyReady = peers::announceReady
         engines.onCopyLeaving = peers::announceLeaving
         ownership.onChange = engines::onDirectory
-        catalogFollower.onAdopted = targetFeed::onCatalogChange
-        targetFollower.onRead = targetFeed::onRead
         view.watch(engines::onDirectory)
         view.watch(waitingRoom::serve)
     }
@@ -294,7 +257,7 @@
         limits.tick(clock.nowMillis())
         waitingRoom.expire()
         peers.sendReports()
-        targetFeed.tick()
+        lists.tick()
         shutdown.tick()
     }
 
@@ -306,7 +269,7 @@
         val gapMillis = suspension.takeGapMillis()
         if (gapMillis == 0L) return
         ownership.dropLease()
-        targetFollower.forgetAge()
+        lists.forgetAge()
         log.write(Event.PROCESS_SUSPENDED, field("gapMillis", gapMillis))
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -24,7 +24,7 @@
 /** Time after which an owner that does not answer is asked again. */
 private const val REPEAT_MILLIS = 40L
 
-/** Words without an answer after which an owner is passed over; a VM that stalls itself has sent none meanwhile. */
+/** Orders without an answer after which an owner is passed over; a planner that stalled has sent none meanwhile. */
 private const val MAX_SENDS = 6
 
 /** Time between two looks for an engine that has become free for what waits. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
@@ -88,17 +88,11 @@
     }
 
     private suspend fun readFrom(source: TargetListSource, waitMillis: Long): Boolean {
-        val since = if (changes.whole() is ChangesSince.Known) {
-            source.since(changes.nextOffset, waitMillis).getOrElse { return false }
-        } else {
-            null
-        }
-        val known = since?.changes as? ChangesSince.Known
-        if (known != null) {
-            take(changes.after(known, since.isEveryRecord), since)
-            return true
-        }
-        return readWhole(source)
+        if (changes.whole() == ChangesSince.Forgotten) return readWhole(source)
+        val listing = source.since(changes.nextOffset, waitMillis).getOrElse { return false }
+        val known = listing.changes as? ChangesSince.Known ?: return readWhole(source)
+        take(changes.after(known, listing.isEveryRecord), listing)
+        return true
     }
 
     private fun ChangeLog<TargetEntry>.after(known: ChangesSince.Known<TargetEntry>, isEveryRecord: Boolean) =
@@ -128,11 +122,14 @@
         onRead()
     }
 
-    private fun changedSince(before: ChangeLog<TargetEntry>, newer: ChangeLog<TargetEntry>) =
-        when (before.whole()) {
-            ChangesSince.Forgotten -> newer.whole()
-            is ChangesSince.Known -> newer.since(before.nextOffset)
-        }.let { (it as? ChangesSince.Known)?.changes.orEmpty() }
+    private fun changedSince(
+        before: ChangeLog<TargetEntry>,
+        newer: ChangeLog<TargetEntry>,
+    ): List<KeyChange<TargetEntry>> {
+        val isFirst = before.whole() == ChangesSince.Forgotten
+        val changed = if (isFirst) newer.whole() else newer.since(before.nextOffset)
+        return (changed as? ChangesSince.Known)?.changes.orEmpty()
+    }
 
     private fun adopt(changed: List<KeyChange<TargetEntry>>) {
         val nowMillis = clock.nowMillis()
