Heed what targets say of themselves: Server-Leaving, and Retry-After of a 503

A target that leaves says so in its answers, and one that is full may ask to be left alone; no code read either, so requests went on to both until the list said so, or for as long as it did not. Change: TargetNotices (core.routing) holds what each life of a target said; FleetView passes such targets over for requests, and EngineOwnerDesk for orders and reports. Requests wait for the end of the quiet if they can, and are told the truth at once if not. Headers that can't be read count as absent, are counted and logged. The fixture of the tests over real sockets stands apart from EntryProcessTest; the stand-in engine serves what it holds while it loads. Ruled out: telling the neighbours. Each VM is bound by its own answers only, and the platform's list follows within seconds.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -82,6 +82,15 @@
     /** The list of targets was read for the first time. */
     TARGETS_LISTED(1120, Level.INFO, "the list of targets is known"),
 
+    /** A target said in an answer that it is about to stop. */
+    TARGET_LEAVING(1121, Level.INFO, "a target said that it is about to stop; it gets nothing new"),
+
+    /** A target asked in an answer to be left alone for a while. */
+    TARGET_QUIET(1122, Level.INFO, "a target asked to be left alone for a while"),
+
+    /** A target's answer has a header about further requests that can't be read. */
+    NOTICE_UNREADABLE(1123, Level.WARN, "a header about further requests can't be read and is ignored"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -46,6 +46,7 @@
 import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
+import org.banyanturn.entry.requests.NoticeDesk
 import org.banyanturn.entry.requests.RequestEnvironment
 import org.banyanturn.entry.requests.RequestHandler
 import org.banyanturn.entry.requests.ServiceRetries
@@ -106,6 +107,7 @@
     private val log = DecisionLog(clock, metrics)
     private val self = Peer(Incarnation(boot.vmId, System.currentTimeMillis()), boot.zoneId, boot.address)
     private val view = FleetView(clock, boot.zoneId)
+    private val notices = NoticeDesk(view, log, metrics)
     private val channels = TargetChannels(loop, clock)
     private val exchanges = HttpExchangesOverChannels(channels)
     private val store = HostedStore(boot.storeAddress, exchanges)
@@ -143,7 +145,7 @@
         settings = OwnerSettings(takeoverMillis = boot.bounds.orderLeaseMillis + TAKEOVER_MARGIN_MILLIS),
         ownership = ownership,
         view = view,
-        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS),
+        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS, notices),
         scope = scope,
         clock = clock,
         log = log,
@@ -152,7 +154,7 @@
     private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
     private val handler = RequestHandler(
         RequestEnvironment(
-            clock, loop, view, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
+            clock, loop, view, notices, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
             metrics, random,
         ),
     )
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/EngineOwnerDesk.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
+import org.banyanturn.core.placement.CopyDeclineReason
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.placement.CopyOrder
 import org.banyanturn.core.placement.CopyOrderKind
@@ -72,6 +73,8 @@
     /** Returns what a wish for [copy] at the engine [targetId] can expect. */
     fun want(targetId: TargetId, copy: CopyName, victims: List<ModelId> = emptyList()): CopyPromise? {
         val engine = engines[targetId]?.takeIf { mayOrder(targetId) } ?: return null
+        val target = view.directory.targets[targetId] ?: return null
+        if (!view.takesOrders(target)) return CopyPromise.Declined(CopyDeclineReason.BUSY)
         val promise = engine.steward.want(copy, clock.nowMillis(), victims)
         if (promise is CopyPromise.Coming) {
             engine.wished += copy
@@ -114,7 +117,7 @@
     private fun drive(targetId: TargetId, engine: OwnedEngine) {
         announceReady(targetId, engine)
         if (!mayOrder(targetId)) return
-        val target = view.directory.targets[targetId] ?: return
+        val target = view.directory.targets[targetId]?.takeIf(view::takesOrders) ?: return
         if (engine.steward.needsReport(clock.nowMillis())) askForReport(target, engine)
         val order = engine.steward.nextOrderOrNull(clock.nowMillis()) ?: return
         scope.launch { send(target, engine, order) }
@@ -142,7 +145,7 @@
     /** The lease is looked at right before the bytes leave, also for time that the steady clock has not counted. */
     private suspend fun sendIfAllowed(target: KnownTarget, order: CopyOrder): CopyOrderResult {
         checkSuspension()
-        if (!mayOrder(target.entry.targetId)) return CopyOrderResult.CONFLICT
+        if (!mayOrder(target.entry.targetId) || !view.takesOrders(target)) return CopyOrderResult.CONFLICT
         val reply = orders.send(
             target.socketAddress,
             target.entry.targetId,
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -96,7 +96,7 @@
     }
 
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
-        view.servingTargets(service).firstOrNull { view.holds(it, copy) }?.entry?.targetId
+        view.usableTargets(service).firstOrNull { view.holds(it, copy) }?.entry?.targetId
 
     /** Looks for what to load for [service], at once or as soon as it is time for another look. */
     private fun requestLook(service: ServiceName) {
@@ -152,7 +152,7 @@
     }
 
     private fun enginesOf(service: ServiceName): List<PlannedEngine> =
-        view.servingTargets(service).map { target ->
+        view.usableTargets(service).map { target ->
             val held = view.heldModels(target)
             PlannedEngine(target.entry.targetId, held, view.hostWeights(target))
         }
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -12,6 +12,10 @@
     /** Log lines that were dropped. */
     val droppedLogLines: Counter = counter("banyanturn_log_lines_dropped", "Log lines beyond the bound a second")
 
+    /** Answers of targets with a header about further requests that can't be read. */
+    val unreadableNotices: Counter =
+        counter("banyanturn_unreadable_notices", "Answers with a header about further requests that can't be read")
+
     private val refusals: Counter = Counter.builder()
         .name("banyanturn_refusals")
         .help("Final answers of the system's own, by reason")
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -6,6 +6,8 @@
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitBreakerSettings
 import org.banyanturn.core.routing.Reachability
+import org.banyanturn.core.routing.TargetNotice
+import org.banyanturn.core.routing.TargetNotices
 import org.banyanturn.core.routing.circuitBreakerOf
 import org.banyanturn.core.routing.targetLoadOf
 import org.banyanturn.core.serving.Catalog
@@ -92,6 +94,7 @@
 ) {
     private val states = HashMap<TargetId, TargetState>()
     private val reachability = Reachability()
+    private val notices = TargetNotices()
     private val demands = HashMap<Pair<ServiceName, CopyName>, Int>()
     private val watchers = ArrayList<() -> Unit>()
 
@@ -170,14 +173,33 @@
             .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
     }
 
-    /** Returns the targets of [service] that take requests and that this VM reaches. */
-    fun servingTargets(service: ServiceName): List<KnownTarget> {
+    /** Returns the targets of [service] that this VM reaches, with those that want no requests for a while. */
+    fun usableTargets(service: ServiceName): List<KnownTarget> {
         val nowMillis = clock.nowMillis()
         return directory.byService[service].orEmpty().filter {
-            it.takesRequests && reachability.isReachable(it.entry.targetId, it.entry.zoneId, nowMillis)
+            it.takesRequests && !isLeaving(it) &&
+                reachability.isReachable(it.entry.targetId, it.entry.zoneId, nowMillis)
         }
     }
 
+    /** Returns whether [target] said in an answer to this VM that it is about to stop. */
+    private fun isLeaving(target: KnownTarget): Boolean =
+        notices.isLeaving(target.entry.targetId, target.entry.bornEpochMillis)
+
+    /** Returns for how long [target] wants nothing from this VM yet, in milliseconds, or 0. */
+    fun quietForMillis(target: KnownTarget): Long =
+        notices.quietForMillis(target.entry.targetId, target.entry.bornEpochMillis, clock.nowMillis())
+
+    /** Returns whether this VM may send orders and questions to [target]. */
+    fun takesOrders(target: KnownTarget): Boolean = !isLeaving(target) && quietForMillis(target) == 0L
+
+    /** Takes in what [target] said about further requests; returns whether that changes what it may get. */
+    fun noteNotice(target: KnownTarget, notice: TargetNotice): Boolean {
+        val isNews = notices.note(target.entry.targetId, target.entry.bornEpochMillis, notice, clock.nowMillis())
+        if (isNews) notifyWatchers()
+        return isNews
+    }
+
     /** Notes that a request is sent to [target]. */
     fun noteTried(target: KnownTarget): Unit =
         reachability.tried(target.entry.targetId, target.entry.zoneId, clock.nowMillis())
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/NoticeDesk.kt
@@ -0,0 +1,37 @@
+package org.banyanturn.entry.requests
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.routing.TargetNotice
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.platform.hosted.TargetNoticeListener
+
+/** Takes in what targets say about further requests in their answers; used on the event loop only. */
+internal class NoticeDesk(
+    private val view: FleetView,
+    private val log: DecisionLog,
+    private val metrics: EntryMetrics,
+) : TargetNoticeListener {
+    override fun onNotice(targetId: TargetId, notice: TargetNotice, unreadable: List<String>) {
+        val target = view.directory.targets[targetId] ?: return
+        onNotice(target, notice, unreadable)
+    }
+
+    /** Takes in [notice] of [target]; [unreadable] names the headers about further requests that can't be read. */
+    fun onNotice(target: KnownTarget, notice: TargetNotice, unreadable: List<String>) {
+        if (unreadable.isNotEmpty()) {
+            metrics.unreadableNotices.inc()
+            log.write(
+                Event.NOTICE_UNREADABLE,
+                field("target", target.entry.targetId),
+                field("headers", unreadable.joinToString()),
+            )
+        }
+        if (!view.noteNotice(target, notice)) return
+        val event = if (notice.isLeaving) Event.TARGET_LEAVING else Event.TARGET_QUIET
+        log.write(event, field("target", target.entry.targetId), field("quietMillis", notice.quietMillis))
+    }
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -89,6 +89,7 @@
         firstPartMillis = elapsedMillis()
         if (environment.view.noteAnswered(target)) logReach(Event.TARGET_REACHED)
         environment.metrics.firstPart(firstPartMillis)
+        environment.notices.onNotice(target, headers.notice, headers.unreadable)
         headers.load?.let {
             state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
         }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -16,6 +16,7 @@
     val clock: ProcessClock,
     val loop: EventLoop,
     val view: FleetView,
+    val notices: NoticeDesk,
     val channels: TargetChannels,
     val placement: TargetPlacement,
     val waitingRoom: WaitingRoom,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -122,6 +122,7 @@
             is Placement.Send -> onTarget(placed.target)
             Placement.Busy -> waitForRoom()
             is Placement.CopyMissing -> waitForCopy(placed)
+            is Placement.Quiet -> waitForQuiet(placed.forMillis)
             Placement.NoTarget -> refuseForNow("no_target", RequestLimits.NO_TARGET_RETRY_MILLIS)
         }
     }
@@ -138,6 +139,12 @@
         join(now() + patienceMillis)
     }
 
+    private fun waitForQuiet(forMillis: Long) {
+        val patienceMillis = minOf(startByMillis - now(), route.targetLatencyMillis)
+        if (forMillis > patienceMillis) return refuseForNow("targets_quiet", forMillis)
+        join(now() + patienceMillis)
+    }
+
     private fun waitForCopy(missing: Placement.CopyMissing) {
         when (val outlook = environment.copyDesk.want(need, missing.modelHolders)) {
             is CopyOutlook.Unavailable -> refuseForNow("no_copy", outlook.retryAfterMillis)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -40,6 +40,9 @@
     /** Targets of the service take requests, but none holds the copy; [modelHolders] hold its model. */
     class CopyMissing(val modelHolders: List<KnownTarget>) : Placement
 
+    /** All targets that could serve it want no requests of this VM; the first takes them in [forMillis]. */
+    class Quiet(val forMillis: Long) : Placement
+
     /** No target of the service takes requests. */
     data object NoTarget : Placement
 }
@@ -66,22 +69,24 @@
 
     /** Returns where a request with [need] may go now. */
     fun place(need: TargetNeed): Placement {
-        val serving = view.servingTargets(need.service)
-        if (serving.isEmpty()) return Placement.NoTarget
+        val usable = view.usableTargets(need.service)
+        if (usable.isEmpty()) return Placement.NoTarget
         val copy = need.copy
-        val holders = if (copy == null) serving else serving.filter { view.holds(it, copy) }
-        if (holders.isEmpty()) return Placement.CopyMissing(modelHolders(serving, need))
-        val fresh = holders.filterNot { it.entry.targetId in need.avoided }.ifEmpty { holders }
+        val holders = if (copy == null) usable else usable.filter { view.holds(it, copy) }
+        if (holders.isEmpty()) return Placement.CopyMissing(modelHolders(usable, need))
+        val taking = holders.filter { view.quietForMillis(it) == 0L }
+        if (taking.isEmpty()) return Placement.Quiet(holders.minOf(view::quietForMillis))
+        val fresh = taking.filterNot { it.entry.targetId in need.avoided }.ifEmpty { taking }
         return choose(fresh, need)
     }
 
     /** Returns the targets that hold the model that [need] asks for. */
     fun modelHolders(need: TargetNeed): List<KnownTarget> =
-        modelHolders(view.servingTargets(need.service), need)
+        modelHolders(view.usableTargets(need.service), need)
 
-    private fun modelHolders(serving: List<KnownTarget>, need: TargetNeed): List<KnownTarget> {
+    private fun modelHolders(usable: List<KnownTarget>, need: TargetNeed): List<KnownTarget> {
         val model = need.copy?.model ?: return emptyList()
-        return serving.filter { view.holds(it, model) }
+        return usable.filter { view.holds(it, model) }
     }
 
     private fun choose(targets: List<KnownTarget>, need: TargetNeed): Placement {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -66,9 +66,11 @@
 
     /** Ends the waits for [copy] that would be over by [atMillis], when it is expected. */
     fun giveUpBefore(copy: CopyName, atMillis: Long) {
-        lanes.filterKeys { it.copy == copy }.values.forEach { lane ->
-            lane.toList().filter { it.deadlineMillis < atMillis }.forEach { giveUp(lane, it) }
-        }
+        lanes.filterKeys { it.copy == copy }.values.forEach { giveUpBefore(it, atMillis) }
+    }
+
+    private fun giveUpBefore(lane: FairQueue, atMillis: Long) {
+        lane.toList().filter { it.deadlineMillis < atMillis }.forEach { giveUp(lane, it) }
     }
 
     private fun giveUp(lane: FairQueue, queued: QueuedRequest) {
@@ -113,6 +115,7 @@
         val need = requests[sample.requestId]?.need ?: return
         val placed = placement.place(need)
         if (placed is Placement.CopyMissing && placed.modelHolders.isNotEmpty()) return onCopyMissing(need)
+        if (placed is Placement.Quiet) return giveUpBefore(lane, nowMillis + placed.forMillis)
         while (lane.size > 0 && placement.place(need) is Placement.Send) {
             val request = lane.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
             when (val placed = placement.place(request.need)) {
--- /dev/null
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
@@ -0,0 +1,149 @@
+package org.banyanturn.entry
+
+import com.github.michaelbull.result.get
+import kotlinx.coroutines.runBlocking
+import org.banyanturn.platform.hosted.parseVmBoot
+import org.banyanturn.standin.hosted.HostedPlatformStandin
+import java.io.IOException
+import java.net.ServerSocket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+private const val HOST = "127.0.0.1"
+private const val WAIT_SECONDS = 20L
+private const val ANSWER_SECONDS = 2L
+private const val LEAST_PORT = 10_000
+private const val LAST_PORT = 32_000
+
+/** The operators' document; `KEYS` stands for the keys of the one member. */
+private const val DOCUMENT = """
+{"version": VERSION,
+ "routes": [
+  {"name": "notes", "host": "a.example", "path_prefix": "/notes/", "kind": "streaming", "timeout_ms": 8000,
+   "target_latency_ms": 300, "service": "llm", "max_attempts": 2, "resumable": true, "gap_aim_ms": 200},
+  {"name": "reports", "host": "a.example", "path_prefix": "/reports/", "kind": "streaming", "timeout_ms": 8000,
+   "target_latency_ms": 300, "service": "llm", "max_attempts": 1, "resumable": false, "gap_aim_ms": 200},
+  {"name": "book", "host": "a.example", "path_prefix": "/book/", "kind": "unsafe", "timeout_ms": 3000,
+   "service": "cal"},
+  {"name": "open", "host": "a.example", "path_prefix": "/open/", "kind": "safe", "timeout_ms": 3000, "service": "cal",
+   "public": true}],
+ "services": [
+  {"name": "llm", "engine": {"slots": 48, "weights_mb": 130.0, "adapter_slots": 8, "loads_per_s": 3,
+   "models": [{"name": "m0", "weights_mb": 60.0, "load_s": 0.2, "adapters": 4, "adapter_mb": 1.0},
+              {"name": "m1", "weights_mb": 60.0, "load_s": 0.2}]}},
+  {"name": "cal"}],
+ "tenants": [{"name": "growers", "api_keys": [KEYS], "unit": "token_rate", "plain_tokens": 10, "rate_per_s": RATE,
+   "burst": RATE}]}
+"""
+
+/** An entry VM in this process, before a stand-in of the platform with two engines and a plain service. */
+internal class EntryFixture : AutoCloseable {
+    val platform = HostedPlatformStandin()
+    private val callerPort = freePort()
+    private val readinessPort = freePort()
+    private val client = HttpClient.newHttpClient()
+    private var process: EntryProcess? = null
+    private val ended = CompletableFuture<Unit>()
+
+    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+    /** Returns the first of three ports in a row that nothing listens on, below those that the system hands out. */
+    private fun freePortRange(): Int =
+        generateSequence { Random.nextInt(LEAST_PORT, LAST_PORT) }.first { port ->
+            (port..port + 2).all { runCatching { ServerSocket(it).close() }.isSuccess }
+        }
+
+    private fun document(version: Int = 1, keys: String = "\"k1\"", rate: Int = 100_000): String =
+        DOCUMENT.replace("VERSION", "$version").replace("KEYS", keys).replace("RATE", "$rate")
+
+    /** Starts the VM before the platform as it is. */
+    fun startEntry() {
+        val peerPort = freePortRange()
+        val settings = """
+            {"node": "front-a-1", "ip": "$HOST", "zone": "zone-a", "bootstrap": true,
+             "listen": {"front": "$HOST:$callerPort", "ready": "$HOST:$readinessPort"},
+             "internal_ports": [$peerPort, ${peerPort + 15}],
+             "bounds": {"grace_s": 8, "lease_ms": 100, "budget_slack": 50},
+             "platform": {"address": "$HOST:${platform.storePort}", "parts": 12}}
+        """
+        val boot = checkNotNull(parseVmBoot(settings).get()) { "the settings are valid" }
+        val started = EntryProcess(boot).also { process = it }
+        Thread {
+            started.run()
+            ended.complete(Unit)
+        }.also { it.isDaemon = true }.start()
+    }
+
+    /** Starts the platform with its targets, and the VM, and waits until it serves. */
+    fun startWhole() = runBlocking {
+        platform.start()
+        platform.declare(document())
+        platform.startEngine("i-1", "llm", listOf("m0"))
+        platform.startEngine("i-2", "llm", listOf("m0"))
+        platform.startService("i-3", "cal")
+        startEntry()
+        awaitTrue("the VM is ready") { ready() == 200 }
+    }
+
+    /** Asks the VM to stop; the same as SIGTERM. */
+    fun requestStop() {
+        process?.requestStop()
+    }
+
+    /** Waits until the VM has ended. */
+    fun awaitEnd() {
+        ended.get(WAIT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    override fun close() {
+        requestStop()
+        if (process != null) awaitEnd()
+        platform.close()
+    }
+
+    /** Waits until [condition] holds. */
+    fun awaitTrue(what: String, condition: () -> Boolean) {
+        val deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS)
+        while (!condition()) {
+            check(System.nanoTime() < deadlineNanos) { "waited in vain until $what" }
+            TimeUnit.MILLISECONDS.sleep(20)
+        }
+    }
+
+    /** Returns the status with which the VM answers the balancer, or 0 if it does not answer. */
+    fun ready(): Int =
+        try {
+            val request = HttpRequest.newBuilder(URI("http://$HOST:$readinessPort/api/ready"))
+                .timeout(Duration.ofSeconds(ANSWER_SECONDS))
+                .build()
+            client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode()
+        } catch (_: IOException) {
+            0
+        }
+
+    /** Sends a request and returns its answer. */
+    fun send(path: String, vararg headers: String, body: String = "{}"): HttpResponse<String> {
+        val request = HttpRequest.newBuilder(URI("http://$HOST:$callerPort$path"))
+            .timeout(Duration.ofSeconds(WAIT_SECONDS))
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+        headers.toList().chunked(2).forEach { (name, value) -> request.header(name, value) }
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+    }
+
+    /** The JDK's client sets `Host` itself, so the routes' host is that of the address. */
+    fun hostedDocument(version: Int = 1, keys: String = "\"k1\"", rate: Int = 100_000): String =
+        document(version, keys, rate).replace("a.example", HOST)
+
+    /** Starts everything and waits until the routes are known. */
+    fun startServing() {
+        startWhole()
+        platform.declare(hostedDocument(version = 2))
+        awaitTrue("the routes are known") { send("/open/1", "Attempt-Id", "o").statusCode() == 200 }
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/org/banyanturn/entry/TargetNoticeTest.kt
@@ -0,0 +1,108 @@
+package org.banyanturn.entry
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What targets say of themselves in their answers, while the platform's list says the contrary. */
+class TargetNoticeTest {
+    private val fixture = EntryFixture()
+    private val platform = fixture.platform
+
+    @AfterEach
+    fun stop(): Unit = fixture.close()
+
+    private fun notes(id: String) =
+        fixture.send("/notes/1", "Authorization", "Bearer k1", "Attempt-Id", id, "Model", "m0")
+
+    private fun book(id: String) = fixture.send("/book/1", "Authorization", "Bearer k1", "Attempt-Id", id)
+
+    private fun runsAt(targetId: String): Int = platform.runs.count { it.targetId == targetId }
+
+    @Test
+    fun `an engine that says that it leaves gets nothing more, until a new life of it is listed`() {
+        fixture.startServing()
+        platform.sayLeaving("i-1")
+        var sent = 0
+        fixture.awaitTrue("i-1 has answered") {
+            notes("n-${sent++}")
+            runsAt("i-1") > 0
+        }
+        val arrivals = platform.arrivalsAt("i-1")
+        repeat(REQUESTS) { assertEquals(200, notes("after-$it").statusCode()) }
+        platform.list("i-1")
+        repeat(REQUESTS) { assertEquals(200, notes("listed-$it").statusCode()) }
+        assertEquals(arrivals, platform.arrivalsAt("i-1"), "requests, orders and questions")
+
+        platform.sayLeaving("i-1", header = null)
+        platform.listReborn("i-1", bornEpochMillis = 2)
+        platform.unlist("i-2")
+        fixture.awaitTrue("the new life serves") { notes("reborn-${sent++}").statusCode() == 200 && runsAt("i-1") > 1 }
+    }
+
+    @Test
+    fun `a plain target that says in a refusal that it leaves gets nothing more`() {
+        fixture.startServing()
+        platform.sayLeaving("i-3")
+        assertEquals(200, book("b-1").statusCode())
+        val arrivals = platform.arrivalsAt("i-3")
+        val refused = book("b-2")
+        assertEquals(503, refused.statusCode())
+        assertTrue("not-run" in refused.body())
+        assertTrue(refused.headers().firstValue("Retry-After").isPresent)
+        assertEquals(arrivals, platform.arrivalsAt("i-3"))
+    }
+
+    @Test
+    fun `an engine that wants no requests for a while gets none, and another one serves`() {
+        fixture.startServing()
+        platform.turnAway("i-1", retryAfter = "1.5")
+        var sent = 0
+        fixture.awaitTrue("i-1 has turned a request away") {
+            assertEquals(200, notes("n-${sent++}").statusCode())
+            platform.hasTurnedAway("i-1")
+        }
+        val arrivals = platform.arrivalsAt("i-1")
+        repeat(REQUESTS) { assertEquals(200, notes("quiet-$it").statusCode()) }
+        assertEquals(arrivals, platform.arrivalsAt("i-1"))
+
+        platform.turnAway("i-1", retryAfter = null)
+        platform.unlist("i-2")
+        fixture.awaitTrue("it serves again") { notes("again-${sent++}").statusCode() == 200 && runsAt("i-1") > 0 }
+    }
+
+    @Test
+    fun `requests are refused at once and truly while all targets want none, and served once they do`() {
+        fixture.startServing()
+        platform.turnAway("i-3", retryAfter = "2.5")
+        val first = book("b-1")
+        assertEquals(503, first.statusCode())
+        val arrivals = platform.arrivalsAt("i-3")
+        val refusals = (2..REQUESTS).map { book("b-$it") }
+        refusals.forEach {
+            assertEquals(503, it.statusCode())
+            assertTrue("not-run" in it.body())
+            assertTrue(it.headers().firstValue("Retry-After").get().toDouble() > 0)
+        }
+        assertEquals(arrivals, platform.arrivalsAt("i-3"))
+        assertEquals(0, runsAt("i-3") - platform.runs.count { it.path == "/open/1" })
+
+        platform.turnAway("i-3", retryAfter = null)
+        fixture.awaitTrue("it serves again") { book("b-last").statusCode() == 200 }
+    }
+
+    @Test
+    fun `notices that can't be read change nothing`() {
+        fixture.startServing()
+        platform.turnAway("i-3", retryAfter = "when the lavender is in")
+        platform.sayLeaving("i-3", header = "perhaps")
+        assertEquals(503, book("b-1").statusCode())
+        platform.turnAway("i-3", retryAfter = null)
+        assertEquals(200, book("b-2").statusCode())
+    }
+
+    private companion object {
+        const val REQUESTS = 12
+    }
+}
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedEngineStandin.kt
@@ -28,6 +28,7 @@
 import kotlinx.serialization.json.put
 import java.io.IOException
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val EVENT_MILLIS = 10L
 private const val ADAPTER_MILLIS = 8L
@@ -60,6 +61,9 @@
     private var accepted = 0L
     private var busyUntilMillis = 0L
 
+    /** The copy that the latest order concerns; what else is held is served meanwhile. */
+    private var orderedCopy: String? = null
+
     /** Ends the answer to each stream after this many events, without its end, if it is not `null`. */
     @Volatile
     var cutAfterEvents: Int? = null
@@ -68,14 +72,39 @@
     @Volatile
     var answersWithoutEnd = false
 
+    /** The `Server-Leaving` header of all answers, or `null` for none. */
+    @Volatile
+    var leavingHeader: String? = null
+
+    /** Turns every request away without running it, with this `Retry-After`, if it is not `null`. */
+    @Volatile
+    var turnsAwayFor: String? = null
+
+    /** Whether it has turned a request away. */
+    @Volatile
+    var hasTurnedAway = false
+        private set
+
+    /** Requests, orders and questions that have reached the target. */
+    val arrivals = AtomicInteger()
+
+    private fun noteArrival(call: ApplicationCall) {
+        arrivals.incrementAndGet()
+        leavingHeader?.let { call.response.header("Server-Leaving", it) }
+    }
+
     /** Adds the target's calls. */
     fun Route.addRoutes() {
         get("/health") {
             call.response.header("Instance-Id", targetId)
             call.respondText("")
         }
-        get("/api/report") { call.respondText(report().toString(), ContentType.Application.Json) }
+        get("/api/report") {
+            noteArrival(call)
+            call.respondText(report().toString(), ContentType.Application.Json)
+        }
         post("/api/order") {
+            noteArrival(call)
             val order = Json.parseToJsonElement(call.receiveText()).jsonObject
             val isMeant = call.request.header("Target-Instance").let { it == null || it == targetId }
             call.respondText(
@@ -130,6 +159,7 @@
 
     private fun accept(model: String, adapter: String?, isLoad: Boolean): Int {
         accepted++
+        orderedCopy = if (adapter == null) model else "$model/$adapter"
         busyUntilMillis = nowMillis() + if (adapter == null) loadMillis else ADAPTER_MILLIS
         when {
             isLoad && adapter == null -> held[model] = LinkedHashSet()
@@ -143,13 +173,15 @@
     @Synchronized
     private fun holds(wanted: String): Boolean {
         val adapters = held[wanted.substringBefore('/')] ?: return false
-        val isReady = nowMillis() >= busyUntilMillis
+        val isOrdered = wanted == orderedCopy || wanted.substringBefore('/') == orderedCopy
+        val isReady = !isOrdered || nowMillis() >= busyUntilMillis
         return isReady && ('/' !in wanted || wanted.substringAfter('/') in adapters)
     }
 
     private fun lacks(model: String?): Boolean = isEngine && model != null && !holds(model)
 
     private suspend fun serve(call: ApplicationCall) {
+        noteArrival(call)
         val attemptId = call.request.header("Attempt-Id").orEmpty()
         val model = call.request.header("Model")
         call.response.header("Attempt-Id", attemptId)
@@ -159,6 +191,12 @@
             call.response.header("Instance-Id", targetId)
             return call.respondText("", status = HttpStatusCode.fromValue(STATUS_MISDIRECTED))
         }
+        turnsAwayFor?.let { seconds ->
+            hasTurnedAway = true
+            call.response.header("Not-Executed", "1")
+            call.response.header("Retry-After", seconds)
+            return call.respondText("", status = HttpStatusCode.ServiceUnavailable)
+        }
         runs += HostedRun(targetId, attemptId, call.request.header("Tenant"), call.request.uri, call.receiveText())
         call.response.header("Server-Seal", "seal-$targetId")
         if (answersWithoutEnd) return sendForEver(call)
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -71,6 +71,7 @@
             put("state", state)
             put("models", running.target.heldModels())
             put("sequence", ++running.heartbeats)
+            put("born", running.bornEpochMillis)
         }
         store.write("keyed.servers", id, entry.toString())
     }
@@ -93,6 +94,28 @@
         targets.getValue(id).target.answersWithoutEnd = true
     }
 
+    /** Lets the target [id] say [header] as `Server-Leaving` in all its answers, or nothing if it is `null`. */
+    public fun sayLeaving(id: String, header: String? = "1") {
+        targets.getValue(id).target.leavingHeader = header
+    }
+
+    /** Lets the target [id] turn requests away with [retryAfter], or take them again if it is `null`. */
+    public fun turnAway(id: String, retryAfter: String?) {
+        targets.getValue(id).target.turnsAwayFor = retryAfter
+    }
+
+    /** Returns how many requests, orders and questions have reached the target [id]. */
+    public fun arrivalsAt(id: String): Int = targets.getValue(id).target.arrivals.get()
+
+    /** Returns whether the target [id] has turned a request away. */
+    public fun hasTurnedAway(id: String): Boolean = targets.getValue(id).target.hasTurnedAway
+
+    /** Lets a new life of the target [id] be listed, born at [bornEpochMillis]. */
+    public fun listReborn(id: String, bornEpochMillis: Long) {
+        targets.getValue(id).bornEpochMillis = bornEpochMillis
+        list(id)
+    }
+
     private suspend fun serve(port: Int = 0, routes: Route.() -> Unit): Int {
         val server = embeddedServer(CIO, port = port, host = host) { routing { routes() } }
         servers += server
@@ -107,4 +130,5 @@
 
 private class RunningTarget(val target: HostedTargetStandin, val service: String, val port: Int) {
     var heartbeats = 0
+    var bornEpochMillis = 1L
 }
