--- a/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -24,6 +24,9 @@
 /** Part of an equal share that a VM takes which hears nothing, and that the others leave to it. */
 internal const val ISOLATED_FRACTION: Double = 0.6
 
+/** Part of each member's burst that is taken to be unused by VMs that start again; they have the rest at once. */
+public const val RESTART_ALLOTMENT_FRACTION: Double = 1 - ISOLATED_FRACTION
+
 /**
  * What a VM tells the collector of one member's use.
  *
@@ -72,29 +75,45 @@
  * that doesn't hear from the collector admits less than an equal part, which the others leave to it.
  *
  * @param initialFraction part of the burst that is taken to be unused when this VM starts: all of it when the whole
- * deployment starts, less when what was used before is not known.
+ * deployment starts, less when what was used before is not known. Of the rest the VM has its part at once, so that a
+ * member is served until the collector is known.
  */
 public class AllotmentShare(
     ratePerSecond: Double,
     burst: Double,
     private val settings: AllotmentSettings,
     nowMillis: Long,
-    initialFraction: Double,
+    private val initialFraction: Double,
 ) {
     private var ratePerSecond = ratePerSecond
     private var burst = burst
     private val demand = DemandMeter()
     private var share: Double? = null
     private var tokens = 0.0
-    private var knownLevel = burst * initialFraction
+
+    /** Unused cost units of the member as this VM last heard of them. */
+    public var knownLevel: Double = burst * initialFraction
+        private set
     private var usedCost = 0.0
     private var refilledAtMillis = nowMillis
-    private var grantAtMillis: Long? = null
+    private var hasBegun = false
+
+    /** When the collector's latest answer came, or `null` if none has. */
+    public var grantAtMillis: Long? = null
+        private set
     private var reportNumber = 0L
     private var appliedReport = 0L
     private var reportedAtMillis: Long? = null
     private var neededCost = 0.0
 
+    /** This VM's part of the limit as the collector last said, or `null` if it has said nothing. */
+    public val currentShare: Double?
+        get() = share
+
+    /** Cost units that this VM may use at once. */
+    public val availableCost: Double
+        get() = tokens
+
     /** Takes over a changed limit. */
     public fun setLimit(newRatePerSecond: Double, newBurst: Double, vmCount: Int, nowMillis: Long) {
         refill(vmCount, nowMillis)
@@ -147,6 +166,7 @@
     }
 
     private fun refill(vmCount: Int, nowMillis: Long) {
+        if (!hasBegun) begin(vmCount, nowMillis)
         if (nowMillis <= refilledAtMillis) return
         val part = partOfLimit(vmCount, nowMillis)
         val elapsedSeconds = (nowMillis - refilledAtMillis) / MILLIS_PER_SECOND
@@ -154,6 +174,12 @@
         refilledAtMillis = nowMillis
     }
 
+    private fun begin(vmCount: Int, nowMillis: Long) {
+        hasBegun = true
+        val unclaimedFraction = min(1.0, (1 - initialFraction) / ISOLATED_FRACTION)
+        tokens = partOfLimit(vmCount, nowMillis) * burst * unclaimedFraction
+    }
+
     /** Returns the report that is due, or `null`. */
     public fun dueReportOrNull(nowMillis: Long): AllotmentReport? {
         val lastArrivalMillis = demand.lastArrivalMillis ?: return null
--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopyRoom.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopyRoom.kt
@@ -4,6 +4,7 @@
 
 /** What the engine's owner knows of one copy there. */
 internal class StewardedCopy(var phase: CopyPhase, var usedAtMillis: Long) {
+    var loadingSinceMillis = 0L
     var readyAtMillis = 0L
 }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopySteward.kt
@@ -4,6 +4,8 @@
 import org.banyanturn.core.serving.EngineSpec
 import org.banyanturn.core.serving.HeldModel
 import org.banyanturn.core.serving.HostWeights
+import org.banyanturn.core.serving.ModelSpec
+import org.banyanturn.core.serving.WeightsSource
 
 /**
  * The copies of one engine, as the VM that owns the engine manages them; not safe for use by several threads.
@@ -38,11 +40,36 @@
     public fun needsReport(nowMillis: Long): Boolean {
         if (isSending) return false
         val isEntryDue = isEntryUnconfirmed && hasOutlastedReports(nowMillis)
-        return !isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || room.isModelLoading || isEntryDue
+        return !isKnown || isUncertain || conflicts >= CONFLICTS_TO_REPORT || isLoadEndDue(nowMillis) ||
+            isEntryDue
     }
 
     /** Returns whether an order, a wish or a report of the engine is to come. */
-    public fun isBusy(nowMillis: Long): Boolean = outstanding != null || wishes.isNotEmpty() || needsReport(nowMillis)
+    public fun isBusy(nowMillis: Long): Boolean =
+        outstanding != null || wishes.isNotEmpty() || room.isModelLoading || needsReport(nowMillis)
+
+    /**
+     * Returns whether a load may have ended: about when it ends from any of the places where the weights may lie, and
+     * from its expected end on.
+     */
+    private fun isLoadEndDue(nowMillis: Long): Boolean =
+        copies.any { (name, copy) ->
+            val model = spec.models[name.modelId]
+            val isLoad = model != null && !name.isAdapter && copy.phase == CopyPhase.LOADING
+            isLoad && (nowMillis >= copy.readyAtMillis || isNearAnyEnd(model, nowMillis - copy.loadingSinceMillis))
+        }
+
+    private fun isNearAnyEnd(model: ModelSpec, loadingMillis: Long): Boolean =
+        WeightsSource.entries.any { source ->
+            val endMillis = model.loadMillisFrom(source)
+            loadingMillis in endMillis..endMillis + settings.reportSpanMillis
+        }
+
+    /** Returns whether the engine is known to take no order, since it loads a model. */
+    private fun isLoading(nowMillis: Long): Boolean =
+        copies.any { (name, copy) ->
+            !name.isAdapter && copy.phase == CopyPhase.LOADING && nowMillis < copy.readyAtMillis
+        }
 
     /**
      * Takes in the engine's report.
@@ -180,23 +207,35 @@
             return CopyPromise.Declined(declined)
         }
         wishes[copy] = wish
-        return CopyPromise.Coming(expectedMillis(copy))
+        return CopyPromise.Coming(expectedMillis(copy) + orderedBeforeMillis(copy, nowMillis))
+    }
+
+    /** Returns how long the model that loads, or was wished for before the adapter [copy], keeps the engine busy. */
+    private fun orderedBeforeMillis(copy: CopyName, nowMillis: Long): Long {
+        if (!copy.isAdapter) return 0
+        val loading = copies.filter { (name, held) -> !name.isAdapter && held.phase == CopyPhase.LOADING }
+            .maxOfOrNull { (_, held) -> held.readyAtMillis - nowMillis } ?: 0
+        val wished = wishes.keys.filterNot { it.isAdapter || isMet(it) }.maxOfOrNull(::expectedMillis) ?: 0
+        return maxOf(loading, wished, 0)
     }
 
     private fun declineOrNull(copy: CopyName, wish: CopyWish, nowMillis: Long): CopyDeclineReason? {
         val model = spec.models[copy.modelId] ?: return CopyDeclineReason.IMPOSSIBLE
         if (!isKnown) return CopyDeclineReason.BUSY
         if (model.weightsMegabytes > spec.weightsMegabytes) return CopyDeclineReason.IMPOSSIBLE
-        if (room.isModelLoading) return CopyDeclineReason.BUSY
         val isModelWished = wishes.keys.any { !it.isAdapter && it != copy }
-        if (isModelWished) return CopyDeclineReason.BUSY
-        if (copy.isAdapter && copies[copy.model]?.phase != CopyPhase.HELD) return CopyDeclineReason.NO_MODEL
+        if (!copy.isAdapter && (room.isModelLoading || isModelWished)) return CopyDeclineReason.BUSY
+        if (copy.isAdapter && !isModelStaying(copy)) return CopyDeclineReason.NO_MODEL
         return CopyDeclineReason.NO_ROOM.takeUnless {
             room.has(copy) ||
                 room.victimsOrNull(copy, wish.victims, nowMillis) != null
         }
     }
 
+    /** Returns whether the model of the adapter [adapter] is held, and no model is wished for in its room. */
+    private fun isModelStaying(adapter: CopyName): Boolean =
+        copies[adapter.model]?.phase == CopyPhase.HELD && wishes.values.none { adapter.model in it.victims }
+
     private fun expectedMillis(copy: CopyName): Long =
         when {
             copy.isAdapter -> settings.adapterLoadMillis * 2
@@ -211,9 +250,12 @@
 
     /** Returns the order to send now, or `null`; its answer must be told by [onOrderAnswered]. */
     public fun nextOrderOrNull(nowMillis: Long): CopyOrder? {
-        if (!isKnown || isSending || nowMillis < nextSendMillis) return null
+        if (!isKnown || isSending || isLoading(nowMillis)) return null
+        if (nowMillis < nextSendMillis) return null
         room.finishAdapters(nowMillis)
-        wishes.entries.removeIf { (copy, wish) -> isMet(copy) || nowMillis - wish.atMillis > settings.wishLifeMillis }
+        wishes.entries.removeIf { (copy, wish) ->
+            isMet(copy) || isWithoutModel(copy) || nowMillis - wish.atMillis > settings.wishLifeMillis
+        }
         val order = outstanding ?: dueOrderOrNull(nowMillis) ?: return null
         outstanding = order
         orderedAtMillis = nowMillis
@@ -226,6 +268,10 @@
         return order
     }
 
+    /** Returns whether [copy] is an adapter whose model has made room for another. */
+    private fun isWithoutModel(copy: CopyName): Boolean =
+        copy.isAdapter && copies[copy.model]?.phase != CopyPhase.HELD
+
     private fun isMet(copy: CopyName): Boolean =
         copies[copy]?.phase.let { it == CopyPhase.HELD || it == CopyPhase.LOADING }
 
@@ -282,6 +328,7 @@
         val copy = copies.getOrPut(order.copy) { StewardedCopy(CopyPhase.LOADING, nowMillis) }
         copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
         copy.usedAtMillis = nowMillis
+        copy.loadingSinceMillis = nowMillis
         copy.readyAtMillis = nowMillis + loadMillis(order.copy)
         nextSendMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopyStewardSettings.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopyStewardSettings.kt
@@ -10,6 +10,7 @@
  * @property conflictMillis wait before an order is sent again that met another one.
  * @property repeatMillis wait before an order is sent again that got no answer.
  * @property reportLagMillis how old an engine's report may be.
+ * @property reportSpanMillis how long after a possible end of a load reports are asked for that may tell of it.
  * @property wishLifeMillis how long a wish stands that nobody repeats.
  */
 public data class CopyStewardSettings(
@@ -20,5 +21,6 @@
     val conflictMillis: Long = 8,
     val repeatMillis: Long = 150,
     val reportLagMillis: Long = 2_500,
+    val reportSpanMillis: Long = 400,
     val wishLifeMillis: Long = 8_000,
 )
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelDemand.kt
@@ -37,15 +37,17 @@
     private val recentMillis = ArrayDeque<Long>()
     private val adapterSeenMillis = HashMap<AdapterId, Long>()
     private var decayedCount = 0.0
+    private var decayedPromptTokens = 0.0
     private var updatedMillis = 0L
 
     /** When the latest request arrived. */
     var latestMillis = Long.MIN_VALUE / 2
         private set
 
-    fun add(adapterId: AdapterId?, requests: Int, nowMillis: Long) {
+    fun add(adapterId: AdapterId?, requests: Int, promptTokens: Long, nowMillis: Long) {
         decay(nowMillis)
         decayedCount += requests
+        decayedPromptTokens += promptTokens
         if (requests > 0) latestMillis = nowMillis
         repeat(requests) { recentMillis.addLast(nowMillis) }
         if (adapterId != null) adapterSeenMillis[adapterId] = nowMillis
@@ -65,6 +67,9 @@
         return max(0.0, average.coerceIn(least, most))
     }
 
+    /** Returns how many tokens the prompts of its requests have on average, 0 while that is not known. */
+    fun meanPromptTokens(): Double = if (decayedCount > 0) decayedPromptTokens / decayedCount else 0.0
+
     /** Returns how many different adapters are in use. */
     fun activeAdapters(nowMillis: Long): Int {
         adapterSeenMillis.values.removeIf { nowMillis - it > settings.adapterMillis }
@@ -81,7 +86,9 @@
 
     private fun decay(nowMillis: Long) {
         if (nowMillis <= updatedMillis) return
-        decayedCount *= exp(-(nowMillis - updatedMillis) / settings.horizonMillis.toDouble())
+        val kept = exp(-(nowMillis - updatedMillis) / settings.horizonMillis.toDouble())
+        decayedCount *= kept
+        decayedPromptTokens *= kept
         updatedMillis = nowMillis
     }
 }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -62,11 +62,27 @@
     private val wantedAtMillis = HashMap<ModelId, Long>()
     private val loadedAtMillis = HashMap<Pair<TargetId, ModelId>, Long>()
     private var startMillis: Long? = null
+    private var pace: PromptPace? = null
 
-    /** Notes that [requests] for [modelId], with the adapter [adapterId] of it or none, have arrived, served or not. */
-    public fun noteDemand(modelId: ModelId, adapterId: AdapterId?, requests: Int, nowMillis: Long) {
+    /**
+     * Notes that [requests] for [modelId], with the adapter [adapterId] of it or none, have arrived, served or not.
+     *
+     * @param promptTokens how many tokens their prompts have together.
+     */
+    public fun noteDemand(
+        modelId: ModelId,
+        adapterId: AdapterId?,
+        requests: Int,
+        nowMillis: Long,
+        promptTokens: Long = 0,
+    ) {
         if (startMillis == null) startMillis = nowMillis
-        demandOf(modelId).add(adapterId, requests, nowMillis)
+        demandOf(modelId).add(adapterId, requests, promptTokens, nowMillis)
+    }
+
+    /** Notes how fast engines read prompts and which pauses callers allow; what prompts take is left out before. */
+    public fun notePace(pace: PromptPace) {
+        this.pace = pace
     }
 
     /** Notes that a request for [modelId] found no copy. */
@@ -127,6 +143,7 @@
             wantedModels = wantedAtMillis.keys,
             loadedAtMillis = loadedAtMillis,
             startMillis = startMillis,
+            pace = pace,
         )
         return PlannerOutlook(settings, memory, engines, spec, nowMillis)
     }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
@@ -6,6 +6,8 @@
  * @property maxLoads loads from the weight store at once: as many as it gives its full speed.
  * @property loadingFraction part of the engines that may load from the store while requests come: such a load takes
  * seconds, in which the engine can't load what its own host keeps.
+ * @property spreadLoads loads from the store at once from which on none begins for a model that has a copy already.
+ * @property pauseEnginesFraction part of the engines over which a model is spread at most for the sake of pauses.
  * @property maxTried models that are tried for one plan, so that a look at a large deployment ends soon.
  * @property spareValue part of a model's demand that a copy beyond those it needs is worth.
  * @property spreadValue part of a model's demand that lacks a copy, counted against models that lack all.
@@ -34,6 +36,8 @@
     val demand: ModelDemandSettings = ModelDemandSettings(),
     val maxLoads: Int = 4,
     val loadingFraction: Double = 0.25,
+    val spreadLoads: Int = 1,
+    val pauseEnginesFraction: Double = 0.5,
     val maxTried: Int = 40,
     val spareValue: Double = 0.01,
     val spreadValue: Double = 0.5,
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlannerOutlook.kt
@@ -15,6 +15,7 @@
  * @property wantedModels models that a request lately found no copy of.
  * @property loadedAtMillis when copies came that are new.
  * @property startMillis when the first request came, or `null` before it.
+ * @property pace what prompts take at the engines, or `null` while that is not known.
  */
 internal class PlannerMemory(
     val demands: Map<ModelId, ModelDemand>,
@@ -24,6 +25,7 @@
     val wantedModels: Set<ModelId>,
     val loadedAtMillis: Map<Pair<TargetId, ModelId>, Long>,
     val startMillis: Long?,
+    val pace: PromptPace?,
 )
 
 /** One way to load a model, with the requests a second that it loses and blocks. */
@@ -92,7 +94,16 @@
         val byLoad = ceil(busySlots / (spec.slots * settings.slotsInUse)).toInt()
         val adapters = if (model.adapterCount == 0) 0 else demandOf(model.modelId).activeAdapters(nowMillis)
         val byPlaces = if (spec.adapterSlots > 0) ceil(adapters.toDouble() / spec.adapterSlots).toInt() else 0
-        return maxOf(1, byLoad, byPlaces)
+        return maxOf(maxOf(byLoad, byPlaces), byPauses(model), 1)
+    }
+
+    /** Returns over how many engines the prompts for [model] must be spread for streams without long pauses. */
+    private fun byPauses(model: ModelSpec): Int {
+        val pace = memory.pace ?: return 1
+        val meanTokens = demandOf(model.modelId).meanPromptTokens()
+        val readMillis = demand(model.modelId) * meanTokens * pace.millisPerToken
+        return ceil(readMillis / MILLIS_PER_SECOND / pace.readingFraction(meanTokens)).toInt()
+            .coerceAtMost(maxOf(1, (engines.size * settings.pauseEnginesFraction).toInt()))
     }
 
     /** Returns what a further copy is worth; a model whose requests found no copy gains with each of them. */
@@ -118,7 +129,11 @@
     }
 
     private fun mostLoads(model: ModelSpec): Int =
-        maxStoreLoads + if (isUrgent(model)) settings.urgentLoads else 0
+        when {
+            hasRequests && copiesOf(model.modelId) > 0 -> settings.spreadLoads
+            isUrgent(model) -> maxStoreLoads + settings.urgentLoads
+            else -> maxStoreLoads
+        }
 
     /** Whether so much demand waits for [model] that what has just come makes room for it too. */
     private fun isUrgent(model: ModelSpec): Boolean = gainOf(model) >= settings.urgentGain
--- a/core/src/main/kotlin/org/banyanturn/core/routing/Reachability.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/Reachability.kt
@@ -18,12 +18,19 @@
  * connect there costs its whole time limit, and a request that tries several such targets in turn is lost. A target
  * that doesn't answer a try to connect is left alone, and with a second one the rest of its zone, but for one try a
  * second; the first answer from the zone ends that.
+ *
+ * Load pattern: a target has died while the platform lists it for seconds more, and it holds the only copy of a busy
+ * model. Its host turns connections away at once, so each request would use up its tries within milliseconds. Such a
+ * target is left alone too, but for one try a second, and tells nothing of its zone.
  */
 public class Reachability(private val settings: ReachabilitySettings = ReachabilitySettings()) {
     private val zones = HashMap<ZoneId, ZoneReach>()
+    private val refusedAtMillis = HashMap<TargetId, Long>()
 
     /** Returns whether a request may be sent to [targetId] in [zoneId] now. */
     public fun isReachable(targetId: TargetId, zoneId: ZoneId, nowMillis: Long): Boolean {
+        val refusedMillis = refusedAtMillis[targetId]
+        if (refusedMillis != null && nowMillis - refusedMillis < settings.retryMillis) return false
         val zone = zones[zoneId] ?: return true
         val isInDoubt = targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets
         return !isInDoubt || nowMillis - zone.triedAtMillis >= settings.retryMillis
@@ -31,6 +38,7 @@
 
     /** Notes that a request is sent to [targetId], so that the others wait for what becomes of it. */
     public fun tried(targetId: TargetId, zoneId: ZoneId, nowMillis: Long) {
+        refusedAtMillis.computeIfPresent(targetId) { _, _ -> nowMillis }
         val zone = zones[zoneId] ?: return
         if (targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets) {
             zone.triedAtMillis = nowMillis
@@ -44,8 +52,21 @@
         return zone.silentTargets.add(targetId)
     }
 
+    /** Notes that the host of [targetId] has turned a connection away; returns whether that is news. */
+    public fun refused(targetId: TargetId, nowMillis: Long): Boolean = refusedAtMillis.put(targetId, nowMillis) == null
+
+    /** Forgets what is known of targets that are not [listed]. */
+    public fun retain(listed: Set<TargetId>) {
+        refusedAtMillis.keys.retainAll(listed)
+    }
+
     /** Notes that [targetId] has answered, so that its zone is not cut off; returns whether that is news. */
     public fun answered(targetId: TargetId, zoneId: ZoneId): Boolean {
+        val wasRefused = refusedAtMillis.remove(targetId) != null
+        return zoneAnswered(targetId, zoneId) || wasRefused
+    }
+
+    private fun zoneAnswered(targetId: TargetId, zoneId: ZoneId): Boolean {
         val zone = zones[zoneId] ?: return false
         if (targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets) {
             zones -= zoneId
--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -182,6 +182,14 @@
     public fun routeOrNull(host: String, path: String): Route? =
         routesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    private val leastGapsMillis: Map<ServiceName, Long> =
+        routes.flatMap { route -> route.targets.mapNotNull { target -> route.gapMillis?.let { target.service to it } } }
+            .groupingBy { (service, _) -> service }
+            .fold(Long.MAX_VALUE) { least, (_, gapMillis) -> minOf(least, gapMillis) }
+
+    /** Returns the shortest of the pauses that routes to [service] allow, or `null` if none names one. */
+    public fun leastGapMillisOrNull(service: ServiceName): Long? = leastGapsMillis[service]
+
     /** Returns the member whose key is [key], or `null` if no member has it. */
     public fun memberOrNull(key: String): MemberTerms? = membersByKey[key]
 
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -92,6 +92,35 @@
         assertNull(next(engine("i-1", "m5", "wide")))
     }
 
+    /** Load: a model with one copy gets prompts that take most of its engine's time, though few of its slots. */
+    @Test
+    fun `a model whose prompts break the pauses of its engine's streams gets further copies`() {
+        for (nowMillis in 0L..LEARNT_MILLIS step 100) {
+            planner.noteDemand(ModelId("m5"), null, 1, nowMillis, promptTokens = 1_200)
+        }
+        val engines = listOf("i-1", "i-2", "i-3", "i-4").mapIndexed { index, id ->
+            engine(id, if (index == 0) "m5" else "m$index", onDisk = setOf("m5"))
+        }
+        assertNull(planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)?.takeIf { it.modelId == ModelId("m5") })
+        planner.notePace(PromptPace(millisPerToken = 0.052, longestPauseMillis = 300))
+        assertEquals(ModelId("m5"), planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)?.modelId)
+        val spread = engines.map { engine(it.targetId.value, "m5", onDisk = setOf("m5")) }
+        assertNull(planner.nextPlanOrNull(spread, spec, LEARNT_MILLIS)?.takeIf { it.modelId == ModelId("m5") })
+    }
+
+    @Test
+    fun `further copies of a busy model come from the store one at a time`() {
+        for (nowMillis in 0L..LEARNT_MILLIS step 100) {
+            planner.noteDemand(ModelId("m5"), null, 1, nowMillis, promptTokens = 1_200)
+        }
+        planner.notePace(PromptPace(millisPerToken = 0.052, longestPauseMillis = 300))
+        val engines = (1..8).map { engine("i-$it", if (it == 1) "m5" else "m4") }
+        fun nextOfBusy() = planner.nextPlanOrNull(engines, spec, LEARNT_MILLIS)?.takeIf { it.modelId == ModelId("m5") }
+        val first = checkNotNull(nextOfBusy()) { "a further copy is due" }
+        planner.started(first, 6_000, LEARNT_MILLIS)
+        assertNull(nextOfBusy())
+    }
+
     @Test
     fun `a model goes where it lies on disk, though more must make room there`() {
         demand("m0", 1.0)
--- /dev/null
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/PromptSpeedTest.kt
@@ -0,0 +1,42 @@
+package org.banyanturn.core.routing
+
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.math.ln
+import kotlin.random.Random
+
+private const val MILLIS_PER_TOKEN = 0.052
+private const val FIXED_MILLIS = 30.0
+
+class PromptSpeedTest {
+    private val speed = PromptSpeed()
+
+    private fun exponential(random: Random, mean: Double): Double = -ln(1 - random.nextDouble()) * mean
+
+    @Test
+    fun `nothing is said before some short and some long prompts were answered`() {
+        repeat(4) {
+            speed.record(promptTokens = 100, firstPartMillis = 35)
+            speed.record(promptTokens = 2_000, firstPartMillis = 134)
+        }
+        speed.record(promptTokens = 0, firstPartMillis = 1)
+        assertNull(speed.millisPerTokenOrNull())
+    }
+
+    /** Load: prompts of all sizes, of which some wait for others at their engine. */
+    @Test
+    fun `what others take at the engine hardly counts`() {
+        repeat(20) { seed ->
+            val random = Random(seed)
+            val estimate = PromptSpeed()
+            repeat(200) {
+                val tokens = exponential(random, 1_200.0).toLong() + 50
+                val waitMillis = if (random.nextDouble() < 0.4) exponential(random, 80.0) else 0.0
+                estimate.record(tokens, (FIXED_MILLIS + tokens * MILLIS_PER_TOKEN + waitMillis).toLong())
+            }
+            val found = checkNotNull(estimate.millisPerTokenOrNull()) { "enough answers" }
+            assertTrue(found in MILLIS_PER_TOKEN / 2..MILLIS_PER_TOKEN * 2, "seed $seed: $found")
+        }
+    }
+}
--- a/core/src/test/kotlin/org/banyanturn/core/routing/ReachabilityTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/ReachabilityTest.kt
@@ -38,6 +38,40 @@
         assertFalse(reach.answered(target(3), far), "no news")
     }
 
+    @Test
+    fun `a target whose host turns connections away is left alone, but for one try a second, and its zone is not`() {
+        assertTrue(reach.refused(target(1), 0))
+        assertFalse(reach.refused(target(1), 10), "no news")
+        reach.refused(target(2), 10)
+        assertFalse(reach.isReachable(target(1), far, 500))
+        assertTrue(reach.isReachable(target(3), far, 500), "hosts that turn connections away are in reach")
+        assertTrue(reach.isReachable(target(1), far, 1_010))
+        reach.tried(target(1), far, 1_010)
+        assertFalse(reach.isReachable(target(1), far, 1_020))
+        assertTrue(reach.answered(target(1), far))
+        assertTrue(reach.isReachable(target(1), far, 1_030))
+    }
+
+    /** Load: 20 requests a second for the only holder of a model, which has died and is listed for 3.6 s more. */
+    @Test
+    fun `of the requests for a dead target few are sent to it`() {
+        var tries = 0
+        for (nowMillis in 0L until 3_600 step 50) {
+            if (!reach.isReachable(target(1), far, nowMillis)) continue
+            reach.tried(target(1), far, nowMillis)
+            tries++
+            reach.refused(target(1), nowMillis)
+        }
+        assertTrue(tries <= 4, "$tries of 72")
+    }
+
+    @Test
+    fun `what is known of targets that are no longer listed is forgotten`() {
+        reach.refused(target(1), 0)
+        reach.retain(setOf(target(2)))
+        assertTrue(reach.isReachable(target(1), far, 10))
+    }
+
     /** Load: 20 requests a second for 5 s to four targets in a zone that is cut off, listed all the while. */
     @Test
     fun `of the requests that meet a zone that is cut off few lose time with it`() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -12,7 +12,9 @@
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.admission.FleetRetryLimit
 import org.banyanturn.core.delivery.DrainSettings
+import org.banyanturn.core.limits.RESTART_ALLOTMENT_FRACTION
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.routing.PromptSpeed
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.logs.Event
@@ -70,9 +72,6 @@
 /** Time between two words to the engines' owners on which copies are in use. */
 private const val USES_MILLIS = 250L
 
-/** Part of each member's burst that a VM that starts again takes to be unused. */
-private const val RESTART_ALLOTMENT_FRACTION = 0.5
-
 /** How long an order to an engine may take; the answer comes at once, from a zone some milliseconds away. */
 private const val ORDER_TIMEOUT_MILLIS = 300L
 
@@ -138,7 +137,8 @@
     )
     private val numbers = generateSequence(1L) { it + 1 }.iterator()
     private val copyRequests = CopyRequests(view, clock, log, numbers)
-    private val planner = PlannerDesk(view, clock, log, numbers)
+    private val promptSpeed = PromptSpeed()
+    private val planner = PlannerDesk(view, clock, log, numbers, promptSpeed)
     private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
     private val engines = EngineOwnerDesk(
         vmName = boot.vmId.value,
@@ -152,12 +152,11 @@
         checkSuspension = ::checkSuspension,
     )
     private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
-    private val handler = RequestHandler(
-        RequestEnvironment(
-            clock, loop, view, notices, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
-            metrics, random,
-        ),
+    private val environment = RequestEnvironment(
+        clock, loop, view, notices, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
+        metrics, random, promptSpeed,
     )
+    private val handler = RequestHandler(environment)
     private val peers =
         PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, lists.relay, crashes)
     private val waitingNeeds = object : WaitingNeeds {
@@ -239,6 +238,7 @@
 
     private fun connectParts() {
         crashes.onRecord = peers::sendCrashRecord
+        environment.onTargetDown = peers::sendDown
 
         copyRequests.questions = peers
         copyRequests.waiting = waitingNeeds
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -43,6 +43,9 @@
 /** Why a model is asked for again that was promised and has not come. */
 private const val OVERDUE = "overdue"
 
+/** Reasons that pass soon: another order is under way, an engine's owner changes, or its model is on its way out. */
+private val PASSING_REASONS = setOf("busy", "not_owner", "no_owner", "no_answer", "no_model")
+
 /** When to ask again for a copy for which there is no room now. */
 private const val NO_ROOM_RETRY_MILLIS = 1_000L
 
@@ -88,10 +91,11 @@
 ) : CopyDesk {
     private val pending = LinkedHashMap<CopyName, PendingCopy>()
     private val declined = HashMap<Pair<CopyName, TargetId?>, Long>()
+    private val deferred = HashMap<CopyName, Long>()
 
     /** Whether copies are asked for that have not come. */
     val isBusy: Boolean
-        get() = pending.isNotEmpty()
+        get() = pending.isNotEmpty() || deferred.isNotEmpty()
 
     /** Where questions go. */
     lateinit var questions: CopyQuestions
@@ -103,6 +107,7 @@
         val copy = need.copy ?: return CopyOutlook.Unavailable(NO_ROOM_RETRY_MILLIS)
         val known = pending[copy]
         if (known != null) return known.outlook(clock.nowMillis())
+        deferred[copy]?.let { return CopyOutlook.Coming((it - clock.nowMillis()).coerceAtLeast(1)) }
         return when {
             !copy.isAdapter -> askPlanner(need, copy)
             modelHolders.isEmpty() -> wantModelFirst(need, copy)
@@ -183,6 +188,7 @@
     /** Notes that the engine [targetId] holds [copy]; requests that wait for it go on. */
     fun onReady(targetId: TargetId, copy: CopyName) {
         pending -= copy
+        deferred -= copy
         view.directory.targets[targetId]?.let { view.noteCopy(it, copy, isPresent = true) }
     }
 
@@ -196,13 +202,30 @@
         if (!isAskedAgain) declined[copy to asked.targetId] = clock.nowMillis() + settings.declinedMillis
         pending -= copy
         val need = waiting.needOrNull(copy) ?: return
-        if (want(need, waiting.modelHolders(need)) is CopyOutlook.Unavailable) waiting.giveUp(need)
+        if (want(need, waiting.modelHolders(need)) !is CopyOutlook.Unavailable) return
+        val isPassing = asked.targetId != null && reason in PASSING_REASONS
+        if (isPassing) defer(copy) else waiting.giveUp(need)
+    }
+
+    /** Lets the requests for [copy] wait on and asks again soon: who declined may be free, or another one, by then. */
+    private fun defer(copy: CopyName) {
+        deferred[copy] = clock.nowMillis() + settings.declinedMillis
+    }
+
+    private fun askDeferred(nowMillis: Long) {
+        val due = deferred.filterValues { it <= nowMillis }.keys
+        deferred -= due
+        due.forEach { copy ->
+            val need = waiting.needOrNull(copy) ?: return@forEach
+            if (want(need, waiting.modelHolders(need)) is CopyOutlook.Unavailable) defer(copy)
+        }
     }
 
     /** Repeats questions that got no answer, and asks for what came too late; called every few milliseconds. */
     fun tick() {
         val nowMillis = clock.nowMillis()
         declined.values.removeIf { it <= nowMillis }
+        askDeferred(nowMillis)
         pending.entries.toList().forEach { (copy, asked) ->
             when {
                 nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, OVERDUE)
@@ -227,11 +250,9 @@
     /** Asks for the adapters that wait for a model which has come. */
     fun onModelReady(need: TargetNeed) {
         val holders = waiting.modelHolders(need)
-        if (holders.isNotEmpty() && need.copy !in pending &&
-            want(need, holders) is CopyOutlook.Unavailable
-        ) {
-            waiting.giveUp(need)
-        }
+        val copy = need.copy ?: return
+        if (holders.isEmpty() || copy in pending) return
+        if (want(need, holders) is CopyOutlook.Unavailable) defer(copy)
     }
 
     private fun specOf(service: ServiceName): EngineSpec? = view.catalog?.services?.get(service)?.engine
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -8,11 +8,14 @@
 import org.banyanturn.core.placement.ModelPlanner
 import org.banyanturn.core.placement.ModelPlannerSettings
 import org.banyanturn.core.placement.PlannedEngine
+import org.banyanturn.core.placement.PromptPace
+import org.banyanturn.core.routing.PromptSpeed
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.FleetView
 
 /** Loads that are started at one time at most. */
@@ -48,6 +51,7 @@
     private val clock: ProcessClock,
     private val log: DecisionLog,
     private val numbers: Iterator<Long>,
+    private val promptSpeed: PromptSpeed,
 ) {
     private val planners = HashMap<ServiceName, ModelPlanner>()
     private val running = LinkedHashMap<Long, RunningPlan>()
@@ -66,8 +70,9 @@
     lateinit var lines: PlannerLines
 
     /** Notes that requests for a model or one of its adapters have arrived somewhere. */
-    fun noteDemand(service: ServiceName, copy: CopyName, requests: Int) {
-        plannerOf(service).noteDemand(copy.modelId, copy.adapterId, requests, clock.nowMillis())
+    fun noteDemand(service: ServiceName, copy: CopyName, arrived: ArrivedRequests) {
+        plannerOf(service)
+            .noteDemand(copy.modelId, copy.adapterId, arrived.count, clock.nowMillis(), arrived.promptTokens)
     }
 
     /** Takes a wish for the model [copy]; the answer goes to [asker]. */
@@ -122,6 +127,7 @@
     private fun startNext(service: ServiceName) {
         val spec = view.catalog?.services?.get(service)?.engine ?: return
         val planner = plannerOf(service)
+        paceOrNull(service)?.let(planner::notePace)
         repeat(MAX_STARTS) {
             val plan = planner.nextPlanOrNull(enginesOf(service), spec, clock.nowMillis()) ?: return
             val model = spec.models.getValue(plan.modelId)
@@ -131,6 +137,11 @@
         }
     }
 
+    private fun paceOrNull(service: ServiceName): PromptPace? {
+        val pauseMillis = view.catalog?.leastGapMillisOrNull(service) ?: return null
+        return promptSpeed.millisPerTokenOrNull()?.let { PromptPace(it, pauseMillis) }
+    }
+
     private fun start(service: ServiceName, plan: LoadPlan, loadMillis: Long) {
         val nowMillis = clock.nowMillis()
         val planner = plannerOf(service)
@@ -145,6 +156,7 @@
             field("target", plan.targetId),
             field("victims", plan.victims),
             field("source", plan.source.name.lowercase()),
+            field("millisPerPromptToken", promptSpeed.millisPerTokenOrNull()),
             field("demandPerSecond", planner.demandPerSecond(plan.modelId, nowMillis)),
         )
         send(started)
@@ -201,9 +213,8 @@
             other.askers += plan.askers
             return
         }
-        plan.askers.forEach {
-            lines.answer(it, CopyAnswer(it.number, readyInMillis = null, targetId = null, reason))
-        }
+        plan.askers.forEach { queue(plan.service, CopyName(plan.plan.modelId), it) }
+        if (plan.askers.isNotEmpty()) requestLook(plan.service)
     }
 
     /** Starts what is due for the services that this VM plans for; called about once a second. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
@@ -23,13 +23,15 @@
     private val lines = ArrayList<TrailLine>(USUAL_LINES)
     private var isCalm = true
 
-    fun refused(refusal: OwnRefusal): Unit =
+    /** Notes [refusal], with the [inputs] that decided it. */
+    fun refused(refusal: OwnRefusal, inputs: List<LogField> = emptyList()): Unit =
         addTroubled(
             Event.REQUEST_REFUSED,
             field("status", refusal.statusCode),
             field("reason", refusal.reason),
             field("outcome", refusal.outcome.wireName),
             field("retryAfterMillis", refusal.retryAfterMillis),
+            *inputs.toTypedArray(),
         )
 
     fun waits(service: String, copy: String?, patienceMillis: Long): Unit =
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -24,6 +24,7 @@
     @ProtoNumber(11) val demands: List<DemandMessage> = emptyList(),
     @ProtoNumber(12) val isLeaving: Boolean = false,
     @ProtoNumber(13) val isInGroup: Boolean = false,
+    @ProtoNumber(14) val down: List<String> = emptyList(),
 )
 
 /** A member's use at the sender, for the member's collector. */
@@ -88,6 +89,7 @@
     @ProtoNumber(2) val modelId: String,
     @ProtoNumber(3) val requests: Int,
     @ProtoNumber(4) val adapterId: String = "",
+    @ProtoNumber(5) val promptTokens: Long = 0,
 )
 
 /** Returns the bytes of this datagram. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -21,6 +21,7 @@
 import org.banyanturn.entry.follow.CatalogRelay
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.Peer
+import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
 
@@ -72,6 +73,12 @@
         others().forEach { send(it.host, crashRecords = listOf(payload)) }
     }
 
+    /** Tells the planner of the service of [target] that nothing listens there. */
+    fun sendDown(target: KnownTarget) {
+        val peer = plannerOrNull(target.entry.service)?.takeUnless(ownership::isSelf) ?: return
+        send(peer.host, down = listOf(target.entry.targetId.value))
+    }
+
     private fun others(): List<Peer> = ownership.peers.filterNot(ownership::isSelf)
 
     /** Tells the engines' owners which copies this VM uses, and the planners what its callers ask for. */
@@ -86,13 +93,13 @@
             }
         }
         val demandsByPlanner = LinkedHashMap<Peer, MutableList<DemandMessage>>()
-        view.takeDemands().forEach { (asked, requests) ->
+        view.takeDemands().forEach { (asked, arrived) ->
             val (service, copy) = asked
             val peer = plannerOrNull(service) ?: return@forEach
             if (ownership.isSelf(peer)) {
-                planner.noteDemand(service, copy, requests)
+                planner.noteDemand(service, copy, arrived)
             } else {
-                demandsByPlanner.getOrPut(peer) { ArrayList() } += copy.demanded(service, requests)
+                demandsByPlanner.getOrPut(peer) { ArrayList() } += copy.demanded(service, arrived)
             }
         }
         (usesByOwner.keys + demandsByPlanner.keys).forEach { peer ->
@@ -180,9 +187,13 @@
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.noteUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::takeLeaving)
         datagram.crashRecords.forEach(crashes::onPeerRecord)
+        datagram.down.filter(::isIdentifier).mapNotNull {
+            view.directory.targets[TargetId(it)]
+        }.forEach(view::noteRefused)
         datagram.demands.forEach { demand ->
             val copy = copyNameOrNull(demand.modelId, demand.adapterId) ?: return@forEach
-            planner.noteDemand(ServiceName(demand.service), copy, demand.requests)
+            val arrived = ArrivedRequests(demand.requests, demand.promptTokens)
+            planner.noteDemand(ServiceName(demand.service), copy, arrived)
         }
         val grants = allotments.answer(from, datagram.reports)
         val replies = datagram.wants.mapNotNull { takeWant(it, senderHost) }
@@ -231,6 +242,7 @@
         leaving: List<CopyAtMessage> = emptyList(),
         demands: List<DemandMessage> = emptyList(),
         crashRecords: List<String> = emptyList(),
+        down: List<String> = emptyList(),
         isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
@@ -245,6 +257,7 @@
             leaving = leaving,
             demands = demands,
             crashRecords = crashRecords,
+            down = down,
             isLeaving = isLeaving,
             isInGroup = ownership.isInGroup,
         )
@@ -272,8 +285,8 @@
 private fun CopyName.at(targetId: TargetId): CopyAtMessage =
     CopyAtMessage(targetId.value, modelId.value, adapterId?.value.orEmpty())
 
-private fun CopyName.demanded(service: ServiceName, requests: Int): DemandMessage =
-    DemandMessage(service.value, modelId.value, requests, adapterId?.value.orEmpty())
+private fun CopyName.demanded(service: ServiceName, arrived: ArrivedRequests): DemandMessage =
+    DemandMessage(service.value, modelId.value, arrived.count, adapterId?.value.orEmpty(), arrived.promptTokens)
 
 private fun CopyReplyMessage.toAnswer(): CopyAnswer =
     CopyAnswer(number, readyInMillis.takeIf { it >= 0 }, targetId.takeIf(::isIdentifier)?.let(::TargetId), reason)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -72,6 +72,12 @@
 /** Word of a copy that is newer than the target's entry. */
 internal class CopyNews(val isPresent: Boolean, val untilMillis: Long)
 
+/** Requests that have arrived, and how many tokens their prompts have together. */
+internal data class ArrivedRequests(val count: Int, val promptTokens: Long) {
+    operator fun plus(other: ArrivedRequests): ArrivedRequests =
+        ArrivedRequests(count + other.count, promptTokens + other.promptTokens)
+}
+
 /** Lifetimes of what this VM believes of targets. */
 internal data class FleetViewSettings(
     val engineReportLifeMillis: Long = 1_500,
@@ -95,7 +101,7 @@
     private val states = HashMap<TargetId, TargetState>()
     private val reachability = Reachability()
     private val notices = TargetNotices()
-    private val demands = HashMap<Pair<ServiceName, CopyName>, Int>()
+    private val demands = HashMap<Pair<ServiceName, CopyName>, ArrivedRequests>()
     private val watchers = ArrayList<() -> Unit>()
 
     /** What operators have declared, or `null` while it is not known. */
@@ -128,6 +134,7 @@
         directory = changed
         hasDirectory = true
         changed.targets.values.forEach { stateOf(it).everHeld += it.entry.heldModels.keys }
+        reachability.retain(changed.targets.keys)
         states.keys.retainAll(changed.targets.keys + states.filterValues { it.openAttempts > 0 }.keys)
         notifyWatchers()
     }
@@ -140,13 +147,13 @@
             TargetState(target.entry.targetId, target.entry.slots, life, settings.breaker)
         }
 
-    /** Notes that a request for [copy] at [service] has arrived. */
-    fun noteDemand(service: ServiceName, copy: CopyName) {
-        demands.merge(service to copy, 1, Int::plus)
+    /** Notes that a request for [copy] at [service] with a prompt of [promptTokens] has arrived. */
+    fun noteDemand(service: ServiceName, copy: CopyName, promptTokens: Long) {
+        demands.merge(service to copy, ArrivedRequests(1, promptTokens), ArrivedRequests::plus)
     }
 
-    /** Returns how many requests for each copy have arrived since the last call. */
-    fun takeDemands(): Map<Pair<ServiceName, CopyName>, Int> = demands.toMap().also { demands.clear() }
+    /** Returns which requests for each copy have arrived since the last call. */
+    fun takeDemands(): Map<Pair<ServiceName, CopyName>, ArrivedRequests> = demands.toMap().also { demands.clear() }
 
     /** Returns the copies that this VM has used since the last call, or still uses, by target. */
     fun takeUses(): Map<TargetId, Set<CopyName>> =
@@ -208,6 +215,13 @@
     fun noteTimedOut(target: KnownTarget): Boolean =
         reachability.timedOut(target.entry.targetId, target.entry.zoneId, clock.nowMillis())
 
+    /** Notes that the host of [target] turned a connection away; returns whether that is news. */
+    fun noteRefused(target: KnownTarget): Boolean {
+        val isNews = reachability.refused(target.entry.targetId, clock.nowMillis())
+        if (isNews) notifyWatchers()
+        return isNews
+    }
+
     /** Notes that [target] has answered; returns whether it, or its zone, was out of reach. */
     fun noteAnswered(target: KnownTarget): Boolean =
         reachability.answered(target.entry.targetId, target.entry.zoneId)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
@@ -7,6 +7,8 @@
 import org.banyanturn.core.limits.AllotmentShare
 import org.banyanturn.core.limits.RateDecision
 import org.banyanturn.core.serving.MemberTerms
+import org.banyanturn.daemon.logs.LogField
+import org.banyanturn.daemon.logs.field
 
 /** A request that waits for room in its member's limit; it is told the decision once. */
 internal class LimitedRequest(
@@ -56,6 +58,17 @@
         shares[terms.memberId]?.share?.refund(cost)
     }
 
+    /** Returns what decides on requests of [memberId] at the moment, for the log. */
+    fun stateFields(memberId: MemberId): List<LogField> {
+        val share = shares[memberId]?.share ?: return emptyList()
+        return listOf(
+            field("memberLevel", share.knownLevel),
+            field("memberShare", share.currentShare),
+            field("tokens", share.availableCost),
+            field("grantAtMillis", share.grantAtMillis),
+        )
+    }
+
     /** Returns the reports that are due, by member. */
     fun dueReports(nowMillis: Long): Map<MemberId, AllotmentReport> {
         val due = LinkedHashMap<MemberId, AllotmentReport>()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -29,6 +29,7 @@
     val attemptId: AttemptId,
     val target: KnownTarget,
     private val copy: CopyName?,
+    private val promptTokens: Long,
     private val environment: RequestEnvironment,
     private val receiver: AnswerReceiver,
     private val sentAtMillis: Long,
@@ -89,6 +90,7 @@
         firstPartMillis = elapsedMillis()
         if (environment.view.noteAnswered(target)) logReach(Event.TARGET_REACHED)
         environment.metrics.firstPart(firstPartMillis)
+        if (!headers.isNotRun && copy != null) environment.promptSpeed.record(promptTokens, firstPartMillis)
         environment.notices.onNotice(target, headers.notice, headers.unreadable)
         headers.load?.let {
             state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
@@ -164,12 +166,19 @@
         settle()
         noteFailure()
         val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
-        if (failure.kind == AttemptFailureKind.CONNECT) environment.channels.closeIdle(target.socketAddress)
+        if (failure.kind == AttemptFailureKind.CONNECT) noteRefused()
         if (failure.kind == AttemptFailureKind.CONNECT_TIMEOUT) noteTimedOut()
         fail(evidence, failure.reason)
         environment.waitingRoom.serve()
     }
 
+    private fun noteRefused() {
+        environment.channels.closeIdle(target.socketAddress)
+        if (!environment.view.noteRefused(target)) return
+        logReach(Event.TARGET_OUT_OF_REACH)
+        environment.onTargetDown(target)
+    }
+
     /** A time limit that ended long after its time tells of this VM's own pause, not of the target. */
     private fun noteTimedOut() {
         environment.channels.closeIdle(target.socketAddress)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -4,6 +4,8 @@
 import org.banyanturn.core.MemberId
 import org.banyanturn.core.delivery.RequestMachine
 import org.banyanturn.core.delivery.RetryPolicy
+import org.banyanturn.core.routing.PromptSpeed
+import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.http.TargetChannels
@@ -27,7 +29,11 @@
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val random: Random,
+    val promptSpeed: PromptSpeed,
 ) {
+    /** Called when a target's host has turned a connection away, so that nothing listens there. */
+    var onTargetDown: (KnownTarget) -> Unit = {}
+
     private val machines = HashMap<Pair<ServiceName, Int>, RequestMachine>()
     private val timesByRoute = HashMap<String, RouteTimes>()
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -1,11 +1,14 @@
 package org.banyanturn.entry.requests
 
+import org.banyanturn.core.MemberId
 import org.banyanturn.core.delivery.RefusalReason
 import org.banyanturn.core.limits.RateDecision
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.MemberTerms
 import org.banyanturn.core.serving.Route
 import org.banyanturn.core.serving.RouteTarget
+import org.banyanturn.daemon.logs.LogField
+import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.http.CallerExchange
 import org.banyanturn.platform.hosted.CallerHeaders
 import org.banyanturn.platform.hosted.readCallerHeaders
@@ -65,9 +68,15 @@
 
     private fun refuseOverLimit(admission: Admission, retryAfterMillis: Long) {
         val spreadMillis = spread(retryAfterMillis, environment.random)
-        refuse(admission.exchange, admission.call, OwnRefusal.OverLimit(retryAfterMillis + spreadMillis))
+        val member = admission.member?.memberId
+        val refusal = OwnRefusal.OverLimit(retryAfterMillis + spreadMillis)
+        refuse(admission.exchange, admission.call, refusal, limitFields(admission, member))
     }
 
+    private fun limitFields(admission: Admission, memberId: MemberId?): List<LogField> =
+        listOf(field("member", memberId), field("route", admission.route.name), field("cost", admission.cost)) +
+            memberId?.let { environment.limits.stateFields(it) }.orEmpty()
+
     private fun start(admission: Admission) {
         val target = pickTarget(admission.route.targets, environment.random)
             ?: return refuse(admission.exchange, admission.call, OwnRefusal.NoRoute)
@@ -75,9 +84,14 @@
         ServedRequest(admission, target.service, environment).start()
     }
 
-    private fun refuse(exchange: CallerExchange, call: CallerHeaders, refusal: OwnRefusal) {
+    private fun refuse(
+        exchange: CallerExchange,
+        call: CallerHeaders,
+        refusal: OwnRefusal,
+        inputs: List<LogField> = emptyList(),
+    ) {
         val trail = environment.log.trail(call.attemptId.orEmpty())
-        trail.refused(refusal)
+        trail.refused(refusal, inputs)
         trail.end()
         environment.metrics.refused(refusal.reason)
         exchange.answerRefusal(refusal, call.attemptId)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -45,6 +45,7 @@
     private val times = environment.timesOf(route.name)
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
+    private val promptTokens = admission.call.tokens?.prompt ?: 0
     private var life = RequestLife(
         DeliveryRequest(requestId(), memberId, route.mayRepeat, idempotencyKey = null, deadlineMillis),
     )
@@ -84,7 +85,7 @@
     fun start() {
         exchange.listener = this
         copy?.let {
-            environment.view.noteDemand(service, it)
+            environment.view.noteDemand(service, it, promptTokens)
             environment.placement.noteArrival(need)
         }
         handle(RequestEvent.Started)
@@ -189,7 +190,8 @@
         state.begin(copy)
         environment.view.noteTried(target)
         trail.sent(attemptId.value, target.entry, state.load.requestsAt(now()))
-        val open = OpenAttempt(attemptId, target, copy, environment, this, now(), admission.call.attemptId)
+        val open =
+            OpenAttempt(attemptId, target, copy, promptTokens, environment, this, now(), admission.call.attemptId)
         current = open
         val maxIdleMillis = if (route.mayRepeat) RequestLimits.KEPT_IDLE_MILLIS else RequestLimits.ONCE_IDLE_MILLIS
         open.begin(environment.channels.send(target.socketAddress, request, open, open, maxIdleMillis))
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -51,7 +51,7 @@
 private const val ZONE_DELAY_MILLIS = 8.0
 
 /** Prompt processing that is saved at the target where requests with the same beginning go first. */
-private const val AFFINITY_MILLIS = 15.0
+private const val AFFINITY_MILLIS = 2.0
 
 /** Chooses the target of each attempt from what this VM knows. */
 internal class TargetPlacement(
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -56,7 +56,7 @@
 
     private suspend fun startTarget(id: String, service: String, target: HostedTargetStandin) {
         val port = serve { with(target) { addRoutes() } }
-        targets[id] = RunningTarget(target, service, port)
+        targets[id] = RunningTarget(target, service, port, servers.last())
         list(id)
     }
 
@@ -107,6 +107,11 @@
     /** Returns how many requests, orders and questions have reached the target [id]. */
     public fun arrivalsAt(id: String): Int = targets.getValue(id).target.arrivals.get()
 
+    /** Lets the target [id] die: its host turns connections away, and the list still names it. */
+    public fun killTarget(id: String) {
+        targets.getValue(id).server.stop(0, STOP_TIMEOUT_MILLIS)
+    }
+
     /** Returns whether the target [id] has turned a request away. */
     public fun hasTurnedAway(id: String): Boolean = targets.getValue(id).target.hasTurnedAway
 
@@ -128,7 +133,12 @@
     }
 }
 
-private class RunningTarget(val target: HostedTargetStandin, val service: String, val port: Int) {
+private class RunningTarget(
+    val target: HostedTargetStandin,
+    val service: String,
+    val port: Int,
+    val server: EmbeddedServer<*, *>,
+) {
     var heartbeats = 0
     var bornEpochMillis = 1L
 }
