--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -14,7 +14,6 @@
 import org.banyanturn.core.delivery.DrainSettings
 import org.banyanturn.core.limits.RESTART_ALLOTMENT_FRACTION
 import org.banyanturn.core.placement.CopyName
-import org.banyanturn.core.routing.PromptSpeed
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.logs.Event
@@ -137,8 +136,6 @@
     )
     private val numbers = generateSequence(1L) { it + 1 }.iterator()
     private val copyRequests = CopyRequests(view, clock, log, numbers)
-    private val promptSpeed = PromptSpeed()
-    private val planner = PlannerDesk(view, clock, log, numbers, promptSpeed)
     private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
     private val engines = EngineOwnerDesk(
         vmName = boot.vmId.value,
@@ -154,8 +151,9 @@
     private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
     private val environment = RequestEnvironment(
         clock, loop, view, notices, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
-        metrics, random, promptSpeed,
+        metrics, random,
     )
+    private val planner = PlannerDesk(view, clock, log, numbers, environment.promptSpeed)
     private val handler = RequestHandler(environment)
     private val peers =
         PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, lists.relay, crashes)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -29,8 +29,10 @@
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val random: Random,
-    val promptSpeed: PromptSpeed,
 ) {
+    /** How fast engines read prompts, by the answers to this VM's requests. */
+    val promptSpeed = PromptSpeed()
+
     /** Called when a target's host has turned a connection away, so that nothing listens there. */
     var onTargetDown: (KnownTarget) -> Unit = {}
 
