--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -47,7 +47,6 @@
 import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
-import org.banyanturn.entry.requests.NoticeDesk
 import org.banyanturn.entry.requests.RequestEnvironment
 import org.banyanturn.entry.requests.RequestHandler
 import org.banyanturn.entry.requests.ServiceRetries
@@ -105,7 +104,6 @@
     private val log = DecisionLog(clock, metrics)
     private val self = Peer(Incarnation(boot.vmId, System.currentTimeMillis()), boot.zoneId, boot.address)
     private val view = FleetView(clock, boot.zoneId)
-    private val notices = NoticeDesk(view, log, metrics)
     private val channels = TargetChannels(loop, clock)
     private val exchanges = HttpExchangesOverChannels(channels)
     private val store = HostedStore(boot.storeAddress, exchanges)
@@ -137,22 +135,22 @@
     private val numbers = generateSequence(1L) { it + 1 }.iterator()
     private val copyRequests = CopyRequests(view, clock, log, numbers)
     private val suspension = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
+    private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
+    private val environment = RequestEnvironment(
+        clock, loop, view, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log, metrics,
+        random,
+    )
     private val engines = EngineOwnerDesk(
         vmName = boot.vmId.value,
         settings = OwnerSettings(takeoverMillis = boot.bounds.orderLeaseMillis + TAKEOVER_MARGIN_MILLIS),
         ownership = ownership,
         view = view,
-        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS, notices),
+        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS, environment.notices),
         scope = scope,
         clock = clock,
         log = log,
         checkSuspension = ::checkSuspension,
     )
-    private val crashes = CrashWatch(self.incarnation, System::currentTimeMillis)
-    private val environment = RequestEnvironment(
-        clock, loop, view, notices, channels, placement, waitingRoom, copyRequests, limits, retries, crashes, log,
-        metrics, random,
-    )
     private val planner = PlannerDesk(view, clock, log, numbers, environment.promptSpeed)
     private val handler = RequestHandler(environment)
     private val peers =
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -18,7 +18,6 @@
     val clock: ProcessClock,
     val loop: EventLoop,
     val view: FleetView,
-    val notices: NoticeDesk,
     val channels: TargetChannels,
     val placement: TargetPlacement,
     val waitingRoom: WaitingRoom,
@@ -30,6 +29,9 @@
     val metrics: EntryMetrics,
     val random: Random,
 ) {
+    /** What targets say about further requests. */
+    val notices = NoticeDesk(view, log, metrics)
+
     /** How fast engines read prompts, by the answers to this VM's requests. */
     val promptSpeed = PromptSpeed()
 
