--- a/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/limits/AllotmentTest.kt
@@ -41,6 +41,9 @@
     private val messages = ArrayList<Pair<Long, () -> Unit>>()
 
     val admitted = ArrayList<Admitted>()
+
+    /** Whether the first request that each VM decided on since the latest start of all VMs was admitted. */
+    val firstAdmittedByVm = HashMap<Int, Boolean>()
     var refusals = 0
         private set
 
@@ -72,6 +75,7 @@
     /** Starts all VMs anew, which know nothing of what was used before. */
     fun restartAll(nowMillis: Long) {
         messages.clear()
+        firstAdmittedByVm.clear()
         waiting.forEach { it.clear() }
         shares.indices.forEach { shares[it] = share(nowMillis, RESTART_ALLOTMENT_FRACTION) }
         loseCollector(nowMillis)
@@ -97,11 +101,11 @@
         val queue = waiting[vm]
         while (queue.isNotEmpty()) {
             val first = queue.first()
-            when (shares[vm].tryAcquire(first.cost, vmCount, nowMillis, first.atMillis)) {
-                RateDecision.Admitted -> admitted += Admitted(nowMillis, first.cost)
-                is RateDecision.Undecided -> break
-                else -> refusals++
-            }
+            val decision = shares[vm].tryAcquire(first.cost, vmCount, nowMillis, first.atMillis)
+            if (decision is RateDecision.Undecided) break
+            val isAdmitted = decision == RateDecision.Admitted
+            firstAdmittedByVm.putIfAbsent(vm, isAdmitted)
+            if (isAdmitted) admitted += Admitted(nowMillis, first.cost) else refusals++
             queue.removeFirst()
         }
         shares[vm].setWaiting(queue.sumOf { it.cost })
@@ -225,6 +229,8 @@
                 if (it == RESTART_MILLIS) fleet.restartAll(it)
             }
             val soon = fleet.admitted.filter { it.atMillis in RESTART_MILLIS..RESTART_MILLIS + 1_000 }.sumOf { it.cost }
+            val firstAdmitted = (0 until 6).map { fleet.firstAdmittedByVm[it] }
+            assertEquals(List(6) { true }, firstAdmitted, "round $round: the first request at each VM")
             assertTrue(soon >= SMALL_RATE / 2, "round $round: $soon in the second after the start")
             assertTrue(fleet.mostInWindow() <= allowed(SMALL_RATE), "round $round: ${fleet.mostInWindow()}")
         }
