--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
@@ -27,11 +27,12 @@
     fun refused(refusal: OwnRefusal, inputs: List<LogField> = emptyList()): Unit =
         addTroubled(
             Event.REQUEST_REFUSED,
-            field("status", refusal.statusCode),
-            field("reason", refusal.reason),
-            field("outcome", refusal.outcome.wireName),
-            field("retryAfterMillis", refusal.retryAfterMillis),
-            *inputs.toTypedArray(),
+            listOf(
+                field("status", refusal.statusCode),
+                field("reason", refusal.reason),
+                field("outcome", refusal.outcome.wireName),
+                field("retryAfterMillis", refusal.retryAfterMillis),
+            ) + inputs,
         )
 
     fun waits(service: String, copy: String?, patienceMillis: Long): Unit =
@@ -73,12 +74,16 @@
         add(Event.REQUEST_ANSWERED, field("status", status), field("attempts", attempts))
     }
 
-    private fun addTroubled(event: Event, vararg fields: LogField) {
+    private fun addTroubled(event: Event, vararg fields: LogField): Unit = addTroubled(event, fields.asList())
+
+    private fun addTroubled(event: Event, fields: List<LogField>) {
         isCalm = false
-        add(event, *fields)
+        add(event, fields)
     }
 
-    private fun add(event: Event, vararg fields: LogField) {
+    private fun add(event: Event, vararg fields: LogField): Unit = add(event, fields.asList())
+
+    private fun add(event: Event, fields: List<LogField>) {
         lines += TrailLine(event, clock.nowMillis() - startMillis, fields)
     }
 
@@ -96,4 +101,4 @@
     }
 }
 
-private class TrailLine(val event: Event, val ageMillis: Long, val fields: Array<out LogField>)
+private class TrailLine(val event: Event, val ageMillis: Long, val fields: List<LogField>)
