Ask again for promised copies, and pass over engines that have died

Traced in the logs of all VMs: a planner told of a dead engine forgets after a second and names it again as holder, and the VM that asked dropped its question; loads planned at an engine that died counted as under way until overdue; a promise was believed though its planner had been replaced; requests for adapters whose model was gone asked nobody. Change: `CopyRequests` asks again 0.3 s after a holder was named that this VM does not reach, asks elsewhere for an adapter whose engine is out of reach, and confirms a promise every 0.5 s, which also refuses at once those who can't wait for a later one. `PlannerDesk` plans anew when a plan's engine is dead, and counts one who asks again once. Whatever copy is missing, `WaitingRoom` has it asked for. VMs tell planners of every refused connection. Tests, each failed first but for one: four cases of CopyRequestsTest (a promise at a dead engine, an adapter elsewhere, an adapter without model, a confirmed promise was written with its change and not run without), two of PlannerDeskTest (the case of one who asks again was not run without either). Ruled out: giving a promise up when its planner falls silent; the engine's owner carries it out all the same.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -88,6 +88,11 @@
     /** Notes that a request for [modelId] found no copy. */
     public fun noteMiss(modelId: ModelId, nowMillis: Long) {
         misses.merge(modelId, 1, Int::plus)
+        noteStillWanted(modelId, nowMillis)
+    }
+
+    /** Notes that a request that found no copy of [modelId] waits on. */
+    public fun noteStillWanted(modelId: ModelId, nowMillis: Long) {
         wantedAtMillis[modelId] = nowMillis
     }
 
--- a/core/src/main/kotlin/org/banyanturn/core/routing/Reachability.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/Reachability.kt
@@ -29,13 +29,16 @@
 
     /** Returns whether a request may be sent to [targetId] in [zoneId] now. */
     public fun isReachable(targetId: TargetId, zoneId: ZoneId, nowMillis: Long): Boolean {
-        val refusedMillis = refusedAtMillis[targetId]
-        if (refusedMillis != null && nowMillis - refusedMillis < settings.retryMillis) return false
+        if (isDead(targetId, nowMillis)) return false
         val zone = zones[zoneId] ?: return true
         val isInDoubt = targetId in zone.silentTargets || zone.silentTargets.size >= settings.zoneTargets
         return !isInDoubt || nowMillis - zone.triedAtMillis >= settings.retryMillis
     }
 
+    /** Returns whether the host of [targetId] has turned a connection away lately. */
+    public fun isDead(targetId: TargetId, nowMillis: Long): Boolean =
+        refusedAtMillis[targetId]?.let { nowMillis - it < settings.retryMillis } ?: false
+
     /** Notes that a request is sent to [targetId], so that the others wait for what becomes of it. */
     public fun tried(targetId: TargetId, zoneId: ZoneId, nowMillis: Long) {
         refusedAtMillis.computeIfPresent(targetId) { _, _ -> nowMillis }
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -234,11 +234,11 @@
 
     private fun connectParts() {
         crashes.onRecord = peers::sendCrashRecord
-        environment.onTargetDown = peers::sendDown
+        environment.onTargetDead = peers::sendDeadTarget
 
         copyRequests.questions = peers
         copyRequests.waiting = waitingNeeds
-        waitingRoom.onCopyMissing = copyRequests::onModelReady
+        waitingRoom.onCopyMissing = copyRequests::onMissing
         planner.lines = peers
         engines.onCopyReady = peers::announceReady
         engines.onCopyLeaving = peers::announceLeaving
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/CopyRequests.kt
@@ -24,6 +24,8 @@
  * @property marginMillis how long after the promised time an adapter may still come.
  * @property modelMarginMillis the same for a model.
  * @property declinedMillis how long a question that was declined is not asked again.
+ * @property confirmMillis after what time a promise is asked for again: who gave it may have gone, or its word that the
+ * copy is there may be lost.
  */
 internal data class CopyRequestSettings(
     val repeatMillis: Long = 40,
@@ -32,6 +34,7 @@
     val marginMillis: Long = 1_500,
     val modelMarginMillis: Long = 1_500,
     val declinedMillis: Long = 300,
+    val confirmMillis: Long = 500,
 )
 
 /** Load of a missing adapter as it is foreseen: two hops to the owner and back, an unload and a load. */
@@ -43,8 +46,11 @@
 /** Why a model is asked for again that was promised and has not come. */
 private const val OVERDUE = "overdue"
 
-/** Reasons that pass soon: another order is under way, an engine's owner changes, or its model is on its way out. */
-private val PASSING_REASONS = setOf("busy", "not_owner", "no_owner", "no_answer", "no_model")
+/** Why an adapter is asked for elsewhere that was asked for at an engine which this VM does not reach now. */
+private const val OUT_OF_REACH = "out_of_reach"
+
+/** Reasons that pass soon: another order is under way, an engine's owner changes, its model is on its way out. */
+private val PASSING_REASONS = setOf("busy", "not_owner", "no_owner", "no_answer", "no_model", OUT_OF_REACH)
 
 /** When to ask again for a copy for which there is no room now. */
 private const val NO_ROOM_RETRY_MILLIS = 1_000L
@@ -176,11 +182,19 @@
         when {
             readyInMillis == null -> decline(copy, asked, answer.reason)
             readyInMillis > 0 -> onPromise(copy, asked, clock.nowMillis() + readyInMillis)
-            else -> (answer.targetId ?: asked.targetId)?.let { onReady(it, copy) }
+            else -> (answer.targetId ?: asked.targetId)?.let { onHolder(it, copy) }
         }
     }
 
+    /** A copy at an engine that this VM does not reach serves nobody: who named it may know better soon. */
+    private fun onHolder(targetId: TargetId, copy: CopyName) {
+        if (view.isUsable(targetId)) return onReady(targetId, copy)
+        pending -= copy
+        defer(copy)
+    }
+
     private fun onPromise(copy: CopyName, asked: PendingCopy, expectedMillis: Long) {
+        asked.isPromised = true
         asked.expectedMillis = expectedMillis
         waiting.giveUpBefore(copy, expectedMillis)
     }
@@ -229,8 +243,9 @@
         pending.entries.toList().forEach { (copy, asked) ->
             when {
                 nowMillis > asked.expectedMillis + marginMillis(copy) -> decline(copy, asked, OVERDUE)
-                asked.isAnswered -> Unit
-                nowMillis - asked.askedAtMillis > giveUpMillis(asked) -> decline(copy, asked, "no_answer")
+                asked.targetId?.let(view::isUsable) == false -> decline(copy, asked, OUT_OF_REACH)
+                asked.isAnswered -> if (nowMillis - asked.askedAtMillis >= settings.confirmMillis) confirm(copy, asked)
+                nowMillis - asked.askedAtMillis > giveUpMillis(asked) -> onSilence(copy, asked)
                 nowMillis - asked.sentAtMillis > settings.repeatMillis shl asked.repeats -> repeat(copy, asked)
             }
         }
@@ -239,6 +254,19 @@
     private fun giveUpMillis(asked: PendingCopy): Long =
         if (asked.targetId == null) settings.plannerGiveUpMillis else settings.ownerGiveUpMillis
 
+    /** What was promised may come without a word of who promised it: the list of targets tells of it too. */
+    private fun onSilence(copy: CopyName, asked: PendingCopy) {
+        if (asked.isPromised) confirm(copy, asked) else decline(copy, asked, "no_answer")
+    }
+
+    /** Asks again for what was promised; the promise holds until there is an answer. */
+    private fun confirm(copy: CopyName, asked: PendingCopy) {
+        asked.askedAtMillis = clock.nowMillis()
+        asked.isAnswered = false
+        asked.repeats = 0
+        sendQuestion(copy, asked)
+    }
+
     private fun repeat(copy: CopyName, asked: PendingCopy) {
         asked.repeats++
         sendQuestion(copy, asked)
@@ -247,12 +275,12 @@
     private fun marginMillis(copy: CopyName): Long =
         if (copy.isAdapter) settings.marginMillis else settings.modelMarginMillis
 
-    /** Asks for the adapters that wait for a model which has come. */
-    fun onModelReady(need: TargetNeed) {
+    /** Asks for the copy that requests with [need] wait for, and refuses them if its model is gone and won't come. */
+    fun onMissing(need: TargetNeed) {
         val holders = waiting.modelHolders(need)
         val copy = need.copy ?: return
-        if (holders.isEmpty() || copy in pending) return
-        if (want(need, holders) is CopyOutlook.Unavailable) defer(copy)
+        if (copy in pending || want(need, holders) !is CopyOutlook.Unavailable) return
+        if (holders.isEmpty()) waiting.giveUp(need) else defer(copy)
     }
 
     private fun specOf(service: ServiceName): EngineSpec? = view.catalog?.services?.get(service)?.engine
@@ -263,12 +291,14 @@
     val number: Long,
     val need: TargetNeed,
     val targetId: TargetId?,
-    val askedAtMillis: Long,
+    beganAtMillis: Long,
     expectedInMillis: Long,
 ) {
-    var sentAtMillis = askedAtMillis
-    var expectedMillis = askedAtMillis + expectedInMillis
+    var askedAtMillis = beganAtMillis
+    var sentAtMillis = beganAtMillis
+    var expectedMillis = beganAtMillis + expectedInMillis
     var isAnswered = false
+    var isPromised = false
     var repeats = 0
 
     fun outlook(nowMillis: Long): CopyOutlook = CopyOutlook.Coming((expectedMillis - nowMillis).coerceAtLeast(1))
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/PlannerDesk.kt
@@ -79,7 +79,7 @@
     fun want(service: ServiceName, copy: CopyName, asker: Asker) {
         val holder = holderOrNull(service, copy)
         if (holder != null) return lines.answer(asker, CopyAnswer(asker.number, 0, holder, reason = ""))
-        plannerOf(service).noteMiss(copy.modelId, clock.nowMillis())
+        noteWanted(service, copy.modelId, asker)
         requestLook(service)
         val known = plansFor(service, copy.modelId).minByOrNull { it.expectedMillis }
             ?: return queue(service, copy, asker)
@@ -87,6 +87,15 @@
         lines.answer(asker, known.answerTo(asker, clock.nowMillis()))
     }
 
+    private fun noteWanted(service: ServiceName, modelId: ModelId, asker: Asker) {
+        val waiting = queued[service to modelId]?.askers.orEmpty() + plansFor(service, modelId).flatMap { it.askers }
+        if (asker in waiting) {
+            plannerOf(service).noteStillWanted(modelId, clock.nowMillis())
+        } else {
+            plannerOf(service).noteMiss(modelId, clock.nowMillis())
+        }
+    }
+
     private fun plansFor(service: ServiceName, modelId: ModelId): List<RunningPlan> =
         running.values.filter { it.service == service && it.plan.modelId == modelId }
 
@@ -232,6 +241,7 @@
         running.values.toList().forEach { plan ->
             when {
                 nowMillis > plan.expectedMillis + plan.graceMillis -> onDeclined(plan, "overdue")
+                view.isDead(plan.plan.targetId) -> onDeclined(plan, "dead")
                 plan.isAnswered -> Unit
                 nowMillis - plan.sentAtMillis <= REPEAT_MILLIS -> Unit
                 plan.sends >= MAX_SENDS -> onDeclined(plan, "no_answer")
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -8,7 +8,12 @@
 import org.banyanturn.entry.decodeMessageOrNull
 import org.banyanturn.entry.encodeMessage
 
-/** What one VM tells another in one datagram; it may be lost, late, repeated or overtaken. */
+/**
+ * What one VM tells another in one datagram; it may be lost, late, repeated or overtaken.
+ *
+ * @property leaving copies that their engine's owner, the sender, is about to drop.
+ * @property deadTargets targets whose hosts turned the sender's connections away.
+ */
 @Serializable
 internal class PeerDatagram(
     @ProtoNumber(1) val vmId: String,
@@ -24,7 +29,7 @@
     @ProtoNumber(11) val demands: List<DemandMessage> = emptyList(),
     @ProtoNumber(12) val isLeaving: Boolean = false,
     @ProtoNumber(13) val isInGroup: Boolean = false,
-    @ProtoNumber(14) val down: List<String> = emptyList(),
+    @ProtoNumber(14) val deadTargets: List<String> = emptyList(),
 )
 
 /** A member's use at the sender, for the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -74,9 +74,9 @@
     }
 
     /** Tells the planner of the service of [target] that nothing listens there. */
-    fun sendDown(target: KnownTarget) {
+    fun sendDeadTarget(target: KnownTarget) {
         val peer = plannerOrNull(target.entry.service)?.takeUnless(ownership::isSelf) ?: return
-        send(peer.host, down = listOf(target.entry.targetId.value))
+        send(peer.host, deadTargets = listOf(target.entry.targetId.value))
     }
 
     private fun others(): List<Peer> = ownership.peers.filterNot(ownership::isSelf)
@@ -187,7 +187,7 @@
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.noteUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::takeLeaving)
         datagram.crashRecords.forEach(crashes::onPeerRecord)
-        datagram.down.filter(::isIdentifier).mapNotNull {
+        datagram.deadTargets.filter(::isIdentifier).mapNotNull {
             view.directory.targets[TargetId(it)]
         }.forEach(view::noteRefused)
         datagram.demands.forEach { demand ->
@@ -242,7 +242,7 @@
         leaving: List<CopyAtMessage> = emptyList(),
         demands: List<DemandMessage> = emptyList(),
         crashRecords: List<String> = emptyList(),
-        down: List<String> = emptyList(),
+        deadTargets: List<String> = emptyList(),
         isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
@@ -257,7 +257,7 @@
             leaving = leaving,
             demands = demands,
             crashRecords = crashRecords,
-            down = down,
+            deadTargets = deadTargets,
             isLeaving = isLeaving,
             isInGroup = ownership.isInGroup,
         )
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -183,12 +183,20 @@
     /** Returns the targets of [service] that this VM reaches, with those that want no requests for a while. */
     fun usableTargets(service: ServiceName): List<KnownTarget> {
         val nowMillis = clock.nowMillis()
-        return directory.byService[service].orEmpty().filter {
-            it.takesRequests && !isLeaving(it) &&
-                reachability.isReachable(it.entry.targetId, it.entry.zoneId, nowMillis)
-        }
+        return directory.byService[service].orEmpty().filter { isUsable(it, nowMillis) }
     }
 
+    /** Returns whether the target [targetId] is listed, takes requests and is reached by this VM. */
+    fun isUsable(targetId: TargetId): Boolean =
+        directory.targets[targetId]?.let { isUsable(it, clock.nowMillis()) } ?: false
+
+    /** Returns whether the host of the target [targetId] has turned a connection away lately. */
+    fun isDead(targetId: TargetId): Boolean = reachability.isDead(targetId, clock.nowMillis())
+
+    private fun isUsable(target: KnownTarget, nowMillis: Long): Boolean =
+        target.takesRequests && !isLeaving(target) &&
+            reachability.isReachable(target.entry.targetId, target.entry.zoneId, nowMillis)
+
     /** Returns whether [target] said in an answer to this VM that it is about to stop. */
     private fun isLeaving(target: KnownTarget): Boolean =
         notices.isLeaving(target.entry.targetId, target.entry.bornEpochMillis)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -174,9 +174,8 @@
 
     private fun noteRefused() {
         environment.channels.closeIdle(target.socketAddress)
-        if (!environment.view.noteRefused(target)) return
-        logReach(Event.TARGET_OUT_OF_REACH)
-        environment.onTargetDown(target)
+        if (environment.view.noteRefused(target)) logReach(Event.TARGET_OUT_OF_REACH)
+        environment.onTargetDead(target)
     }
 
     /** A time limit that ended long after its time tells of this VM's own pause, not of the target. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -36,7 +36,7 @@
     val promptSpeed = PromptSpeed()
 
     /** Called when a target's host has turned a connection away, so that nothing listens there. */
-    var onTargetDown: (KnownTarget) -> Unit = {}
+    var onTargetDead: (KnownTarget) -> Unit = {}
 
     private val machines = HashMap<Pair<ServiceName, Int>, RequestMachine>()
     private val timesByRoute = HashMap<String, RouteTimes>()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitingRoom.kt
@@ -30,7 +30,7 @@
     private var isServing = false
     private var servedAtMillis = 0L
 
-    /** Called when requests wait for an adapter that no engine holds, though engines hold its model. */
+    /** Called when requests wait for a copy that no engine holds. */
     var onCopyMissing: (TargetNeed) -> Unit = {}
 
     /** How many requests wait. */
@@ -114,7 +114,7 @@
         val sample = lane.toList().firstOrNull() ?: return
         val need = requests[sample.requestId]?.need ?: return
         val placed = placement.place(need)
-        if (placed is Placement.CopyMissing && placed.modelHolders.isNotEmpty()) return onCopyMissing(need)
+        if (placed is Placement.CopyMissing) return onCopyMissing(need)
         if (placed is Placement.Quiet) return giveUpBefore(lane, nowMillis + placed.forMillis)
         while (lane.size > 0 && placement.place(need) is Placement.Send) {
             val request = lane.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/CopyRequestsTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/CopyRequestsTest.kt
@@ -7,6 +7,7 @@
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.EngineDirectory
 import org.banyanturn.core.serving.EngineSpec
 import org.banyanturn.core.serving.HeldModel
 import org.banyanturn.core.serving.KnownTarget
@@ -74,7 +75,10 @@
     }
 
     private inner class Waiting : WaitingNeeds {
-        override fun needOrNull(copy: CopyName): TargetNeed? = waitingNeed.takeIf { givenUpAtMillis == null }
+        override fun needOrNull(copy: CopyName): TargetNeed? = waitingNeed.takeIf {
+            givenUpAtMillis == null &&
+                it.copy == copy
+        }
 
         override fun modelHolders(need: TargetNeed): List<KnownTarget> = holders
 
@@ -115,6 +119,35 @@
         assertInstanceOf(CopyOutlook.Unavailable::class.java, requests.want(need, emptyList()))
     }
 
+    /** Load: the planner that promised a model is replaced, or its word that the model is there gets lost. */
+    @Test
+    fun `a promise is confirmed now and then, and what is told last counts`() {
+        requests.want(need, emptyList())
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = 8_000, targetId = null, reason = ""))
+        runUntil(480)
+        assertEquals(1, sentAtMillis.size)
+        runUntil(520)
+        assertEquals(2, sentAtMillis.size)
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = 9_000, targetId = null, reason = ""))
+        assertEquals(CopyOutlook.Coming(9_000), requests.want(need, emptyList()))
+        runUntil(1_000)
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = 14_000, targetId = null, reason = ""))
+        assertEquals(1_000L, givenUpAtMillis, "they can't wait so long")
+    }
+
+    /** Load: the planner freezes after its promise; the engine's owner has the order and carries it out. */
+    @Test
+    fun `a promise whose planner falls silent holds until it is overdue`() {
+        requests.want(need, emptyList())
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = 8_000, targetId = null, reason = ""))
+        runUntil(8_000)
+        assertEquals(null, givenUpAtMillis)
+        assertTrue(sentAtMillis.size in 10..30, "asked ${sentAtMillis.size} times")
+        requests.onReady(TargetId("i-1"), copy)
+        runUntil(12_000)
+        assertEquals(null, givenUpAtMillis)
+    }
+
     private fun holder(id: String): KnownTarget {
         val held = mapOf(copy.modelId to HeldModel(copy.modelId, 1, emptySet()))
         return KnownTarget(
@@ -126,6 +159,7 @@
     private fun wantAdapter(vararg holderIds: String): CopyOutlook {
         waitingNeed = TargetNeed(service, CopyName(copy.modelId, AdapterId("a1")), "m7", emptySet(), 1_000)
         holders = holderIds.map(::holder)
+        list(*holderIds)
         return requests.want(waitingNeed, holders)
     }
 
@@ -156,6 +190,53 @@
         assertInstanceOf(CopyOutlook.Coming::class.java, wantAdapter("i-1"))
     }
 
+    private fun list(vararg ids: String) {
+        val listed = ids.fold(EngineDirectory.empty()) { known, id -> known.listed(holder(id).entry, nowMillis) }
+        view.adopt(listed)
+    }
+
+    private fun turnsAway(id: String): Boolean =
+        view.noteRefused(checkNotNull(view.directory.targets[TargetId(id)]) { "$id is listed" })
+
+    /** Load: the engine with the only copy of a busy model has died; the planner, on another VM, has forgotten so. */
+    @Test
+    fun `a model that is promised at an engine which turns connections away is asked for again`() {
+        list("i-1")
+        requests.want(need, emptyList())
+        turnsAway("i-1")
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = 0, TargetId("i-1"), reason = ""))
+        runUntil(nowMillis + 320)
+        assertEquals(2, sentAtMillis.size)
+        assertInstanceOf(CopyOutlook.Coming::class.java, requests.want(need, emptyList()), "the requests wait on")
+        assertEquals(null, givenUpAtMillis)
+    }
+
+    /** Load: the engine that loads an adapter dies, and its owner has not heard of it. */
+    @Test
+    fun `an adapter is asked for at another engine when the first one turns connections away`() {
+        wantAdapter("i-1", "i-2")
+        val (number, first) = askedOwners.single()
+        requests.onAnswer(CopyAnswer(number, readyInMillis = 400, first, reason = ""))
+        turnsAway(first.value)
+        holders = holders.filterNot { it.entry.targetId == first }
+        runUntil(nowMillis + TICK_MILLIS)
+        assertEquals(2, askedOwners.size)
+        assertTrue(askedOwners.last().second != first, "another engine is asked")
+        assertEquals(null, givenUpAtMillis)
+    }
+
+    /** Load: the only engine with a model dies while requests for its adapters wait, and no plan makes room for it. */
+    @Test
+    fun `requests for an adapter are refused at once when its model is gone and can't be loaded`() {
+        waitingNeed = TargetNeed(service, CopyName(copy.modelId, AdapterId("a1")), "m7", emptySet(), 1_000)
+        requests.onMissing(waitingNeed)
+        assertEquals(1, sentAtMillis.size, "the planner is asked for the model")
+        assertEquals(null, givenUpAtMillis)
+        requests.onAnswer(CopyAnswer(number = 1, readyInMillis = null, targetId = null, reason = "no_plan"))
+        requests.onMissing(waitingNeed)
+        assertEquals(nowMillis, givenUpAtMillis)
+    }
+
     @Test
     fun `an adapter for which there is no room at any engine is refused at once`() {
         wantAdapter("i-1", "i-2")
--- /dev/null
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/PlannerDeskTest.kt
@@ -0,0 +1,130 @@
+package org.banyanturn.entry.copies
+
+import org.banyanturn.core.ModelId
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.ZoneId
+import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.placement.LoadPlan
+import org.banyanturn.core.routing.PromptSpeed
+import org.banyanturn.core.serving.CallerLimits
+import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.EngineDirectory
+import org.banyanturn.core.serving.EngineSpec
+import org.banyanturn.core.serving.HostWeights
+import org.banyanturn.core.serving.ModelSpec
+import org.banyanturn.core.serving.Service
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.core.serving.TargetEntry
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.requests.FleetView
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+private const val TICK_MILLIS = 20L
+private const val STORE_LOAD_MILLIS = 7_000L
+
+/** A planner of two engines, asked for a model that none of them holds. */
+class PlannerDeskTest {
+    private var nowMillis = 0L
+    private val clock = ProcessClock { nowMillis }
+    private val service = ServiceName("llm")
+    private val model = CopyName(ModelId("m7"))
+    private val view = FleetView(clock, ZoneId("z")).also {
+        it.adopt(catalog())
+        it.adopt(EngineDirectory.empty().listed(engine("i-1"), nowMillis).listed(engine("i-2"), nowMillis))
+    }
+    private val lines = RecordedMessages()
+    private val desk = PlannerDesk(
+        view,
+        clock,
+        DecisionLog(clock, EntryMetrics()),
+        generateSequence(1L) { it + 1 }.iterator(),
+        PromptSpeed(),
+    ).also { it.lines = lines }
+
+    private fun catalog(): Catalog {
+        val spec = ModelSpec(model.modelId, 60.0, STORE_LOAD_MILLIS, diskLoadMillis = 800, adapterCount = 0, 1.0)
+        val engines = EngineSpec(12, mapOf(model.modelId to spec), 200.0, adapterSlots = 8, loadsPerSecond = 18.0)
+        return Catalog(
+            version = 1,
+            routes = emptyList(),
+            services = mapOf(service to Service(service, "/health", maxConnections = 100, engines)),
+            members = emptyMap(),
+            hasMembers = false,
+            callerLimits = CallerLimits(16_384, 65_536, 5_000, 15_000),
+        )
+    }
+
+    private fun engine(id: String): TargetEntry {
+        val weights = HostWeights(onDisk = setOf(model.modelId))
+        return TargetEntry(
+            TargetId(
+                id,
+            ),
+            service, "10.0.0.1:80", ZoneId("z"), 12, false, null, null, emptyMap(), weights,
+        )
+    }
+
+    private class RecordedMessages : PlannerLines {
+        val orders = ArrayList<Pair<Long, TargetId>>()
+        val answers = ArrayList<CopyAnswer>()
+
+        override fun order(number: Long, plan: LoadPlan): Boolean {
+            orders += number to plan.targetId
+            return true
+        }
+
+        override fun answer(asker: Asker, answer: CopyAnswer) {
+            answers += answer
+        }
+    }
+
+    private fun runUntil(untilMillis: Long) {
+        while (nowMillis < untilMillis) {
+            nowMillis += TICK_MILLIS
+            desk.tick()
+        }
+    }
+
+    private fun dies(targetId: TargetId) {
+        view.noteRefused(checkNotNull(view.directory.targets[targetId]) { "$targetId is listed" })
+    }
+
+    @Test
+    fun `who asks for a model again is one who waits, not two`() {
+        repeat(3) {
+            desk.want(service, model, Asker("vm-2", number = 70))
+            runUntil(nowMillis + 500)
+        }
+        val (number, target) = lines.orders.last()
+        lines.answers.clear()
+        desk.onAnswer(CopyAnswer(number, readyInMillis = 0, target, reason = ""))
+        assertEquals(listOf(70L), lines.answers.map { it.number })
+    }
+
+    /** Load: an engine dies while it loads a model that requests wait for. */
+    @Test
+    fun `a model whose engine dies while it loads is loaded at another one, and who asked is told`() {
+        desk.want(service, model, Asker("vm-2", number = 70))
+        runUntil(TICK_MILLIS)
+        val (number, first) = lines.orders.single()
+        desk.onAnswer(CopyAnswer(number, readyInMillis = 800, first, reason = ""))
+        runUntil(200)
+        lines.answers.clear()
+
+        dies(first)
+        runUntil(400)
+        val second = lines.orders.last()
+        assertNotEquals(first, second.second)
+        desk.onAnswer(CopyAnswer(second.first, readyInMillis = 0, second.second, reason = ""))
+        val last = lines.answers.last()
+        assertEquals(70, last.number)
+        assertEquals(0L, last.readyInMillis)
+        assertEquals(second.second, last.targetId)
+        assertTrue(lines.answers.all { it.readyInMillis != null }, "it is not told that the model won't come")
+    }
+}
