Let the prompts of all VMs take turns at an engine, so that they break no pauses

An engine reads prompts between the tokens of all its streams, so prompts that several VMs send there within 300 ms stop all its streams while they are read. No VM can see what the others send, and reports come too late. Change: `PromptGate` lets prompts go to an engine while those that are unread there take less than half a pause together; the next one goes when one has given its first event. The engine's owner keeps the turns (`TurnKeeper`), VMs ask it by datagram (`PromptTurns`); an owner that does not answer for 30 ms is passed over, and no prompt waits longer than its caller's aim for the first event allows. Answers tell what an engine has yet to read, `CopyChooser` counts it, and a request whose prompt is queued looks for an engine with less (`TurnTaker`). A target is looked at again when the turn has come: notices and lists count as of then.

--- a/core/src/main/kotlin/org/banyanturn/core/routing/CopyChooser.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/CopyChooser.kt
@@ -8,6 +8,7 @@
  * @property zoneDelayMillis delay to the target's zone, there and back.
  * @property batchRoom how many requests the target can add to its batch at once; see [TargetLoad.batchRoomAt].
  * @property cachedPromptMillis prompt processing that the target's prefix cache is expected to save.
+ * @property queuedPromptMillis how long the target takes for the prompts that wait for their turn there.
  * @property state whether the target takes requests.
  */
 public data class ReadyTarget(
@@ -15,6 +16,7 @@
     val zoneDelayMillis: Double,
     val batchRoom: Int,
     val cachedPromptMillis: Double = 0.0,
+    val queuedPromptMillis: Double = 0.0,
     val state: CircuitState = CircuitState.CLOSED,
 )
 
@@ -64,7 +66,7 @@
 
     private fun expectedMillis(target: ReadyTarget): Double {
         val queued = (1 - target.batchRoom).coerceAtLeast(0)
-        return target.zoneDelayMillis - target.cachedPromptMillis -
+        return target.zoneDelayMillis + target.queuedPromptMillis - target.cachedPromptMillis -
             target.batchRoom.coerceAtLeast(0) * settings.batchMillis +
             queued * settings.queueMillis
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/PromptGate.kt
@@ -0,0 +1,80 @@
+package org.banyanturn.core.routing
+
+/**
+ * A prompt that is to be sent to an engine.
+ *
+ * @property readMillis how long the engine takes to read it.
+ * @property togetherMillis how long the engine may take for all prompts that it has not read, with this one.
+ * @property untilMillis when it is sent at the latest, whatever else the engine reads.
+ */
+public data class GatedPrompt(val readMillis: Double, val togetherMillis: Double, val untilMillis: Long)
+
+/**
+ * Decides when prompts may be sent to one engine, in the order in which they are asked for; not safe for use by several
+ * threads.
+ *
+ * Load pattern: an engine reads prompts between the tokens of all that it runs. Prompts that arrive together from many
+ * VMs are read one after the other, and every stream of the engine pauses for all of them. Held back by a few hundred
+ * milliseconds, which their own callers allow, they break no pause: the next one is sent when an earlier one has given
+ * its first event, which takes as many steps of the engine as any stream's next event.
+ *
+ * What is read within one pause was unfinished at its beginning, or followed what was finished in it. So twice
+ * [GatedPrompt.togetherMillis] fit into a pause, unless a single prompt takes longer.
+ */
+public class PromptGate<K : Any>(private val lostMillis: Long = LOST_MILLIS) {
+    private val waiting = LinkedHashMap<K, GatedPrompt>()
+    private val unread = LinkedHashMap<K, SentPrompt>()
+
+    /** Whether no prompt waits and none is known to be unread. */
+    public val isEmpty: Boolean
+        get() = waiting.isEmpty() && unread.isEmpty()
+
+    /** Returns how long the engine takes for all prompts that are unread or wait, in milliseconds. */
+    public fun backlogMillis(): Double = unreadMillis() + waiting.values.sumOf { it.readMillis }
+
+    private fun unreadMillis(): Double = unread.values.sumOf { it.prompt.readMillis }
+
+    /** Takes in the wish to send [prompt] and returns what may be sent now; asking again changes nothing. */
+    public fun ask(key: K, prompt: GatedPrompt, nowMillis: Long): List<K> {
+        if (key in unread) return listOf(key)
+        waiting.putIfAbsent(key, prompt)
+        return admit(nowMillis)
+    }
+
+    /** Notes that the prompt [key] was read, or won't be sent, and returns what may be sent now. */
+    public fun finished(key: K, nowMillis: Long): List<K> {
+        waiting -= key
+        unread -= key
+        return admit(nowMillis)
+    }
+
+    /** Returns what may be sent since time has passed. */
+    public fun tick(nowMillis: Long): List<K> = admit(nowMillis)
+
+    private fun admit(nowMillis: Long): List<K> {
+        unread.values.removeIf { nowMillis - it.sentAtMillis > lostMillis }
+        val overdue = waiting.filterValues { it.untilMillis <= nowMillis }.keys.toList()
+        overdue.forEach { send(it, nowMillis) }
+        val admitted = ArrayList(overdue)
+        while (true) {
+            val key = waiting.entries.firstOrNull()?.takeIf { fits(it.value) }?.key ?: return admitted
+            send(key, nowMillis)
+            admitted += key
+        }
+    }
+
+    private fun fits(prompt: GatedPrompt): Boolean =
+        unread.isEmpty() || unreadMillis() + prompt.readMillis <= prompt.togetherMillis
+
+    private fun send(key: K, nowMillis: Long) {
+        val prompt = waiting.remove(key) ?: return
+        unread[key] = SentPrompt(prompt, nowMillis)
+    }
+
+    private companion object {
+        /** After this time it counts as lost that a prompt was read. */
+        const val LOST_MILLIS = 1_000L
+    }
+}
+
+private class SentPrompt(val prompt: GatedPrompt, val sentAtMillis: Long)
--- a/core/src/test/kotlin/org/banyanturn/core/routing/PromptSpeedTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/PromptSpeedTest.kt
@@ -24,6 +24,23 @@
         assertNull(speed.millisPerTokenOrNull())
     }
 
+    /** Load: engines have kept the beginnings of a third of the prompts. */
+    @Test
+    fun `prompts whose beginnings were kept hardly count`() {
+        repeat(20) { seed ->
+            val random = Random(seed)
+            val estimate = PromptSpeed()
+            repeat(200) {
+                val tokens = exponential(random, 1_200.0).toLong() + 50
+                val readTokens = if (random.nextDouble() < 0.3) tokens / 2 else tokens
+                val waitMillis = if (random.nextDouble() < 0.2) exponential(random, 80.0) else 0.0
+                estimate.record(tokens, (FIXED_MILLIS + readTokens * MILLIS_PER_TOKEN + waitMillis).toLong())
+            }
+            val found = checkNotNull(estimate.millisPerTokenOrNull()) { "enough answers" }
+            assertTrue(found in MILLIS_PER_TOKEN * 0.6..MILLIS_PER_TOKEN * 1.5, "seed $seed: $found")
+        }
+    }
+
     /** Load: prompts of all sizes, of which some wait for others at their engine. */
     @Test
     fun `what others take at the engine hardly counts`() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -153,8 +153,10 @@
     )
     private val planner = PlannerDesk(view, clock, log, numbers, environment.promptSpeed)
     private val handler = RequestHandler(environment)
-    private val peers =
-        PeerDesk(self, ownership, liveness, allotments, copyRequests, planner, engines, view, lists.relay, crashes)
+    private val peers = PeerDesk(
+        self, ownership, liveness, allotments, copyRequests, planner, engines, view, lists.relay, crashes,
+        environment.turns,
+    )
     private val waitingNeeds = object : WaitingNeeds {
         override fun needOrNull(copy: CopyName): TargetNeed? = waitingRoom.needOrNull(copy)
 
@@ -235,7 +237,7 @@
     private fun connectParts() {
         crashes.onRecord = peers::sendCrashRecord
         environment.onTargetDead = peers::sendDeadTarget
-
+        environment.turns.lines = peers
         copyRequests.questions = peers
         copyRequests.waiting = waitingNeeds
         waitingRoom.onCopyMissing = copyRequests::onMissing
@@ -253,6 +255,7 @@
         planner.tick()
         copyRequests.tick()
         limits.tick(clock.nowMillis())
+        environment.turns.tick()
         waitingRoom.expire()
         peers.sendReports()
         lists.tick()
@@ -260,7 +263,8 @@
     }
 
     private fun isBusy(): Boolean =
-        waitingRoom.size > 0 || limits.isWaiting || copyRequests.isBusy || planner.isBusy || engines.isBusy ||
+        waitingRoom.size > 0 || limits.isWaiting || environment.turns.isBusy || copyRequests.isBusy || planner.isBusy ||
+            engines.isBusy ||
             !shutdown.isServing
 
     private fun checkSuspension() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestTrail.kt
@@ -46,13 +46,15 @@
     fun notPlaced(reason: String, service: String, copy: String?): Unit =
         addTroubled(Event.REQUEST_NOT_PLACED, field("reason", reason), field("service", service), field("copy", copy))
 
-    fun sent(attemptId: String, target: TargetEntry, estimatedRequests: Int): Unit =
+    /** Notes that an attempt left for [target], after it had waited [turnMillis] for its turn. */
+    fun sent(attemptId: String, target: TargetEntry, estimatedRequests: Int, turnMillis: Long): Unit =
         add(
             Event.ATTEMPT_SENT,
             field("attempt", attemptId),
             field("target", target.targetId),
             field("zone", target.zoneId),
             field("estimatedRequests", estimatedRequests),
+            field("turnMillis", turnMillis),
         )
 
     fun attemptFailed(attemptId: String, targetId: String, evidence: AttemptEvidence, reason: String): Unit =
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import org.banyanturn.entry.decodeMessageOrNull
 import org.banyanturn.entry.encodeMessage
+import org.banyanturn.entry.turns.TurnMessage
 
 /**
  * What one VM tells another in one datagram; it may be lost, late, repeated or overtaken.
@@ -30,6 +31,7 @@
     @ProtoNumber(12) val isLeaving: Boolean = false,
     @ProtoNumber(13) val isInGroup: Boolean = false,
     @ProtoNumber(14) val deadTargets: List<String> = emptyList(),
+    @ProtoNumber(15) val turns: List<TurnMessage> = emptyList(),
 )
 
 /** A member's use at the sender, for the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDesk.kt
@@ -24,6 +24,10 @@
 import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.CrashWatch
 import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.turns.PromptTurns
+import org.banyanturn.entry.turns.TurnLines
+import org.banyanturn.entry.turns.TurnMessage
+import org.banyanturn.entry.turns.TurnPlace
 
 /** How a copy that won't be loaded is said in a datagram. */
 private const val DECLINED = -1L
@@ -40,7 +44,8 @@
     private val view: FleetView,
     private val relay: CatalogRelay,
     private val crashes: CrashWatch,
-) : CopyQuestions, PlannerLines {
+    private val turns: PromptTurns,
+) : CopyQuestions, PlannerLines, TurnLines {
     private val waiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
 
     /** Where datagrams go. */
@@ -172,6 +177,11 @@
 
     private fun plannerOrNull(service: ServiceName): Peer? = ownership.ownerOrNull("planner/${service.value}")
 
+    override fun turnPlaceOrNull(targetId: TargetId): TurnPlace? =
+        ownerOrNull(targetId)?.let { TurnPlace(if (ownership.isSelf(it)) null else it.host) }
+
+    override fun sendTurn(host: String, message: TurnMessage): Unit = send(host, turns = listOf(message))
+
     /** Takes in a datagram of another VM. */
     fun onDatagram(datagram: PeerDatagram, senderHost: String) {
         if (!isIdentifier(datagram.vmId)) return
@@ -195,6 +205,7 @@
             val arrived = ArrivedRequests(demand.requests, demand.promptTokens)
             planner.noteDemand(ServiceName(demand.service), copy, arrived)
         }
+        datagram.turns.forEach { turns.onMessage(it, senderHost) }
         val grants = allotments.answer(from, datagram.reports)
         val replies = datagram.wants.mapNotNull { takeWant(it, senderHost) }
         if (grants.isNotEmpty() || replies.isNotEmpty()) send(senderHost, grants = grants, replies = replies)
@@ -243,6 +254,7 @@
         demands: List<DemandMessage> = emptyList(),
         crashRecords: List<String> = emptyList(),
         deadTargets: List<String> = emptyList(),
+        turns: List<TurnMessage> = emptyList(),
         isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
@@ -258,6 +270,7 @@
             demands = demands,
             crashRecords = crashRecords,
             deadTargets = deadTargets,
+            turns = turns,
             isLeaving = isLeaving,
             isInGroup = ownership.isInGroup,
         )
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -33,6 +33,16 @@
     var load = targetLoadOf(slots, reportLifeMillis)
     var breaker = circuitBreakerOf(breakerSettings)
 
+    private var promptsReadAtMillis = Long.MIN_VALUE
+
+    /** Notes that the target takes [backlogMillis] for the prompts that are unread or wait for their turn. */
+    fun notePromptBacklog(backlogMillis: Long, nowMillis: Long) {
+        promptsReadAtMillis = nowMillis + backlogMillis
+    }
+
+    /** Returns how long the target takes yet for the prompts that were known of last. */
+    fun promptBacklogMillis(nowMillis: Long): Long = (promptsReadAtMillis - nowMillis).coerceAtLeast(0)
+
     /** Models that the target has held as long as this VM knows it. */
     val everHeld = HashSet<ModelId>()
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -16,6 +16,7 @@
 import org.banyanturn.entry.http.AttemptFailureKind
 import org.banyanturn.entry.http.AttemptListener
 import org.banyanturn.entry.http.TargetAttempt
+import org.banyanturn.entry.turns.PromptTurn
 import org.banyanturn.platform.hosted.TargetAnswerHeaders
 import org.banyanturn.platform.hosted.isMisdirected
 import org.banyanturn.platform.hosted.readTargetAnswerHeaders
@@ -24,6 +25,7 @@
  * One attempt to run a request at [target]: reads its answer and tells [receiver] what it is worth.
  *
  * @property callerAttemptId the id that a target's answer must bear, or `null` if the caller gave none.
+ * @property turn the turn of its prompt, which ends when the target has read it, or `null` if it has none.
  */
 internal class OpenAttempt(
     val attemptId: AttemptId,
@@ -34,6 +36,7 @@
     private val receiver: AnswerReceiver,
     private val sentAtMillis: Long,
     private val callerAttemptId: String?,
+    private val turn: PromptTurn?,
 ) : AttemptListener, AnswerMatcher {
     private val state = environment.view.stateOf(target)
     private var attempt: TargetAttempt? = null
@@ -88,6 +91,7 @@
         head = response
         said = headers
         firstPartMillis = elapsedMillis()
+        turn?.end()
         if (environment.view.noteAnswered(target)) logReach(Event.TARGET_REACHED)
         environment.metrics.firstPart(firstPartMillis)
         if (!headers.isNotRun && copy != null) environment.promptSpeed.record(promptTokens, firstPartMillis)
@@ -206,6 +210,7 @@
 
     private fun settle() {
         isSettled = true
+        turn?.end()
         state.load = state.load.ended(attemptId.value, environment.clock.nowMillis())
         state.end(copy)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -11,6 +11,7 @@
 import org.banyanturn.entry.http.TargetChannels
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.turns.PromptTurns
 import kotlin.random.Random
 
 /** What all requests of this VM share; used on the event loop only. */
@@ -35,6 +36,9 @@
     /** How fast engines read prompts, by the answers to this VM's requests. */
     val promptSpeed = PromptSpeed()
 
+    /** When prompts are sent, so that those of all VMs break no pauses together. */
+    val turns = PromptTurns(view, clock, promptSpeed)
+
     /** Called when a target's host has turned a connection away, so that nothing listens there. */
     var onTargetDead: (KnownTarget) -> Unit = {}
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -1,10 +1,6 @@
 package org.banyanturn.entry.requests
 
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.EmptyHttpHeaders
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.util.concurrent.ScheduledFuture
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.delivery.AnswerChunk
@@ -24,7 +20,6 @@
 import org.banyanturn.entry.http.CallerListener
 import org.banyanturn.entry.observe.RequestTrail
 import org.banyanturn.platform.hosted.TargetHeaders
-import org.banyanturn.platform.hosted.targetRequestHeaders
 import java.util.concurrent.TimeUnit
 
 /** Names requests on this VM whose caller gave no id. */
@@ -35,7 +30,7 @@
     private val admission: Admission,
     private val service: ServiceName,
     private val environment: RequestEnvironment,
-) : WaitingRequest, CallerListener, AnswerReceiver {
+) : WaitingRequest, TurnRequest, CallerListener, AnswerReceiver {
     private val exchange = admission.exchange
     private val route = admission.route
     private val machine = environment.machineFor(service, route.maxAttempts)
@@ -45,7 +40,7 @@
     private val times = environment.timesOf(route.name)
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
-    private val promptTokens = admission.call.tokens?.prompt ?: 0
+    override val promptTokens = admission.call.tokens?.prompt ?: 0
     private var life = RequestLife(
         DeliveryRequest(requestId(), memberId, route.mayRepeat, idempotencyKey = null, deadlineMillis),
     )
@@ -56,6 +51,8 @@
     private val relay = EventRelay(exchange)
     override val trail: RequestTrail = environment.log.trail(id)
     private val timers = ArrayList<ScheduledFuture<*>>()
+    private val takesTurns = copy != null && isStream && promptTokens > 0
+    private val turns = TurnTaker(this, environment)
     private var isWaiting = false
     private var isReleased = false
 
@@ -172,6 +169,15 @@
 
     override fun onTarget(target: KnownTarget) {
         isWaiting = false
+        if (takesTurns) turns.take(target) else sendTo(target)
+    }
+
+    override fun sendByMillis(): Long =
+        minOf(startByMillis, exchange.arrivedAtMillis + route.targetLatencyMillis - times.firstPartMillis())
+
+    override fun chooseAgain(): Unit = chooseTarget(avoided)
+
+    override fun sendTo(target: KnownTarget) {
         lastTarget = target
         handle(RequestEvent.TargetChosen(target.entry.targetId))
     }
@@ -189,16 +195,15 @@
         state.breaker = state.breaker.requestSent(now())
         state.begin(copy)
         environment.view.noteTried(target)
-        trail.sent(attemptId.value, target.entry, state.load.requestsAt(now()))
-        val open =
-            OpenAttempt(attemptId, target, copy, promptTokens, environment, this, now(), admission.call.attemptId)
+        trail.sent(attemptId.value, target.entry, state.load.requestsAt(now()), turns.waitedMillis())
+        val callerId = admission.call.attemptId
+        val open = OpenAttempt(attemptId, target, copy, promptTokens, environment, this, now(), callerId, turns.turn)
         current = open
         val maxIdleMillis = if (route.mayRepeat) RequestLimits.KEPT_IDLE_MILLIS else RequestLimits.ONCE_IDLE_MILLIS
         open.begin(environment.channels.send(target.socketAddress, request, open, open, maxIdleMillis))
     }
 
-    private fun requestTo(target: KnownTarget): DefaultFullHttpRequest {
-        val head = exchange.head
+    private fun requestTo(target: KnownTarget): FullHttpRequest {
         val added = TargetHeaders(
             targetId = target.entry.targetId.value,
             member = memberId?.value,
@@ -206,19 +211,7 @@
             lastEventId = relay.lastEventId?.toString(),
             rank = admission.member?.rank ?: route.rank,
         )
-        val headers = targetRequestHeaders(head.headers(), added)
-        val body = exchange.body.retainedDuplicate()
-        if (body.isReadable || head.method() != HttpMethod.GET) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        }
-        return DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            head.method(),
-            head.uri(),
-            body,
-            headers,
-            EmptyHttpHeaders.INSTANCE,
-        )
+        return targetRequest(exchange, added)
     }
 
     override fun onStreamPart(attempt: OpenAttempt, event: StreamEvent) {
@@ -332,6 +325,7 @@
         timers.forEach { it.cancel(false) }
         timers.clear()
         trail.end()
+        turns.end()
         if (isWaiting) environment.waitingRoom.leave(id)
         isWaiting = false
         answer?.release()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetPlacement.kt
@@ -80,6 +80,13 @@
         return choose(fresh, need)
     }
 
+    /** Returns whether a request with [need] may still go to the target [targetId], which was chosen a moment ago. */
+    fun mayTake(targetId: TargetId, need: TargetNeed): Boolean {
+        val target = view.directory.targets[targetId] ?: return false
+        val isThere = need.copy == null || view.holds(target, need.copy)
+        return isThere && view.isUsable(targetId) && view.quietForMillis(target) == 0L
+    }
+
     /** Returns the targets that hold the model that [need] asks for. */
     fun modelHolders(need: TargetNeed): List<KnownTarget> =
         modelHolders(view.usableTargets(need.service), need)
@@ -99,6 +106,7 @@
                 zoneDelayMillis = if (target.entry.zoneId == view.zoneId) 0.0 else ZONE_DELAY_MILLIS,
                 batchRoom = state.load.batchRoomAt(nowMillis),
                 cachedPromptMillis = if (target === favourite) AFFINITY_MILLIS else 0.0,
+                queuedPromptMillis = if (need.copy == null) 0.0 else state.promptBacklogMillis(nowMillis).toDouble(),
                 state = state.breaker.stateAt(nowMillis),
             )
         }
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurns.kt
@@ -0,0 +1,182 @@
+package org.banyanturn.entry.turns
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.isIdentifier
+import org.banyanturn.core.routing.PromptSpeed
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.requests.FleetView
+
+/** A request's turn to send its prompt to an engine. */
+internal interface PromptTurn {
+    /**
+     * Calls [onTurn] when the prompt may be sent, at once or later; called once.
+     *
+     * [onQueued] is called before that if other prompts go first.
+     */
+    fun await(onTurn: () -> Unit, onQueued: () -> Unit)
+
+    /** Ends the turn: the prompt was read, or won't be sent. */
+    fun end()
+}
+
+/** Which VM keeps the turns at an engine; [host] is `null` if it is this one. */
+internal class TurnPlace(val host: String?)
+
+/** How the VMs that keep turns are reached. */
+internal interface TurnLines {
+    /** Returns which VM keeps the turns at [targetId], or `null` if none is known. */
+    fun turnPlaceOrNull(targetId: TargetId): TurnPlace?
+
+    /** Sends [message] to the VM at [host]. */
+    fun sendTurn(host: String, message: TurnMessage)
+}
+
+/**
+ * Takes turns for the prompts of this VM's requests, and gives those at the engines that it owns.
+ *
+ * All VMs ask the owner of an engine, which alone can tell what the others send there. Nothing but pauses depends on
+ * it: a prompt whose owner does not answer is sent without a turn, so that two owners, or none, do no harm.
+ */
+internal class PromptTurns(
+    private val view: FleetView,
+    private val clock: ProcessClock,
+    promptSpeed: PromptSpeed,
+) {
+    private val numbers = generateSequence(1L) { it + 1 }.iterator()
+    private val keeper = TurnKeeper(view, clock, promptSpeed, ::onGranted)
+    private val waiting = LinkedHashMap<Long, WaitingTurn>()
+
+    /** How other VMs are reached. */
+    lateinit var lines: TurnLines
+
+    /** Whether turns are waited for or kept. */
+    val isBusy: Boolean
+        get() = waiting.isNotEmpty() || keeper.isBusy
+
+    /** Returns a turn for a prompt of [promptTokens] at [target], which comes by [untilMillis] at the latest. */
+    fun turnAt(target: KnownTarget, promptTokens: Long, untilMillis: Long): PromptTurn {
+        val targetId = target.entry.targetId
+        return OwnTurn(numbers.next(), targetId, lines.turnPlaceOrNull(targetId), promptTokens, untilMillis)
+    }
+
+    private inner class OwnTurn(
+        private val number: Long,
+        private val targetId: TargetId,
+        private val place: TurnPlace?,
+        private val promptTokens: Long,
+        private val untilMillis: Long,
+    ) : PromptTurn {
+        private var isEnded = false
+
+        override fun await(onTurn: () -> Unit, onQueued: () -> Unit) {
+            val nowMillis = clock.nowMillis()
+            waiting[number] = WaitingTurn(targetId, nowMillis, untilMillis, onTurn, onQueued)
+            val waitMillis = (untilMillis - nowMillis).coerceAtLeast(0)
+            val host = place?.host
+            when {
+                place == null -> grant(number)
+                host == null -> onAnswer(number, keeper.ask(TurnKey(null, number), targetId, promptTokens, waitMillis))
+                else -> askAt(host, waitMillis)
+            }
+        }
+
+        private fun askAt(host: String, waitMillis: Long) {
+            lines.sendTurn(
+                host,
+                TurnMessage(number, TurnStep.ASKED.number, targetId.value, promptTokens, waitMillis),
+            )
+            if (waitMillis == 0L) grant(number)
+        }
+
+        override fun end() {
+            if (isEnded) return
+            isEnded = true
+            waiting -= number
+            val host = place?.host
+            when {
+                place == null -> Unit
+                host == null -> keeper.end(TurnKey(null, number), targetId)
+                else -> lines.sendTurn(host, TurnMessage(number, TurnStep.ENDED.number, targetId.value))
+            }
+        }
+    }
+
+    private fun onGranted(key: TurnKey) {
+        if (key.host == null) return grant(key.number)
+        lines.sendTurn(key.host, TurnMessage(key.number, TurnStep.GRANTED.number))
+    }
+
+    private fun onAnswer(number: Long, answer: TurnAnswer) {
+        val turn = waiting[number] ?: return
+        val nowMillis = clock.nowMillis()
+        view.directory.targets[turn.targetId]?.let {
+            view.stateOf(it).notePromptBacklog(answer.backlogMillis, nowMillis)
+        }
+        if (answer.isGranted) return grant(number)
+        if (turn.isAnswered) return
+        turn.isAnswered = true
+        turn.onQueued()
+    }
+
+    private fun grant(number: Long) {
+        waiting.remove(number)?.onTurn?.invoke()
+    }
+
+    /** Takes in a message of the VM at [senderHost]. */
+    fun onMessage(message: TurnMessage, senderHost: String) {
+        when (message.step) {
+            TurnStep.ASKED -> onAsked(message, senderHost)
+            TurnStep.QUEUED -> onAnswer(message.number, TurnAnswer(isGranted = false, message.backlogMillis))
+            TurnStep.GRANTED -> onGrantedBy(message)
+            TurnStep.ENDED -> targetOrNull(message)?.let { keeper.end(TurnKey(senderHost, message.number), it) }
+            null -> Unit
+        }
+    }
+
+    /** Only an answer to a question tells of a backlog; a turn that has come later does not. */
+    private fun onGrantedBy(message: TurnMessage) {
+        val isFirstAnswer = waiting[message.number]?.isAnswered == false
+        if (isFirstAnswer) onAnswer(message.number, TurnAnswer(isGranted = true, message.backlogMillis))
+        grant(message.number)
+    }
+
+    private fun onAsked(message: TurnMessage, senderHost: String) {
+        val targetId = targetOrNull(message) ?: return
+        val key = TurnKey(senderHost, message.number)
+        val answer = keeper.ask(key, targetId, message.promptTokens.coerceAtLeast(0), message.waitMillis)
+        val step = if (answer.isGranted) TurnStep.GRANTED else TurnStep.QUEUED
+        lines.sendTurn(
+            senderHost,
+            TurnMessage(message.number, step.number, backlogMillis = answer.backlogMillis),
+        )
+    }
+
+    private fun targetOrNull(message: TurnMessage): TargetId? =
+        message.targetId.takeIf(::isIdentifier)?.let(::TargetId)
+
+    /** Sends what has waited long enough, and gives the turns that have come; called every few milliseconds. */
+    fun tick() {
+        keeper.tick()
+        val nowMillis = clock.nowMillis()
+        waiting.filterValues { it.isOver(nowMillis) }.keys.forEach(::grant)
+    }
+}
+
+private class WaitingTurn(
+    val targetId: TargetId,
+    private val askedAtMillis: Long,
+    private val untilMillis: Long,
+    val onTurn: () -> Unit,
+    val onQueued: () -> Unit,
+) {
+    var isAnswered = false
+
+    fun isOver(nowMillis: Long): Boolean =
+        nowMillis >= untilMillis || (!isAnswered && nowMillis - askedAtMillis > ANSWER_MILLIS)
+
+    private companion object {
+        /** After this time a VM that keeps turns counts as silent. */
+        const val ANSWER_MILLIS = 30L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnKeeper.kt
@@ -0,0 +1,63 @@
+package org.banyanturn.entry.turns
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.routing.GatedPrompt
+import org.banyanturn.core.routing.PromptGate
+import org.banyanturn.core.routing.PromptSpeed
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.requests.FleetView
+
+/** Names a turn: the VM that asked by its host, `null` for this one, and its number there. */
+internal data class TurnKey(val host: String?, val number: Long)
+
+/** What a VM hears that has asked: whether it may send its prompt, and how long the prompts before it take. */
+internal class TurnAnswer(val isGranted: Boolean, val backlogMillis: Long)
+
+/** Gives the turns at the engines of which this VM keeps them; used on the event loop only. */
+internal class TurnKeeper(
+    private val view: FleetView,
+    private val clock: ProcessClock,
+    private val promptSpeed: PromptSpeed,
+    private val onGranted: (TurnKey) -> Unit,
+) {
+    private val gates = HashMap<TargetId, PromptGate<TurnKey>>()
+
+    /** Whether prompts wait or are being read. */
+    val isBusy: Boolean
+        get() = gates.isNotEmpty()
+
+    /** Returns whether a prompt may be sent at once; otherwise [onGranted] is called when its turn has come. */
+    fun ask(key: TurnKey, targetId: TargetId, promptTokens: Long, waitMillis: Long): TurnAnswer {
+        val togetherMillis = togetherMillisOrNull(targetId) ?: return TurnAnswer(isGranted = true, backlogMillis = 0)
+        val nowMillis = clock.nowMillis()
+        val readMillis = promptTokens * (promptSpeed.millisPerTokenOrNull() ?: 0.0)
+        val prompt = GatedPrompt(readMillis, togetherMillis, nowMillis + waitMillis)
+        val gate = gates.getOrPut(targetId, ::PromptGate)
+        val granted = gate.ask(key, prompt, nowMillis)
+        granted.filterNot { it == key }.forEach(onGranted)
+        return TurnAnswer(key in granted, (gate.backlogMillis() - readMillis).toLong().coerceAtLeast(0))
+    }
+
+    private fun togetherMillisOrNull(targetId: TargetId): Double? {
+        val service = view.directory.targets[targetId]?.entry?.service ?: return null
+        return view.catalog?.leastGapMillisOrNull(service)?.let { it * TOGETHER_FRACTION }
+    }
+
+    /** Notes that the prompt [key] was read, or won't be sent. */
+    fun end(key: TurnKey, targetId: TargetId) {
+        val gate = gates[targetId] ?: return
+        gate.finished(key, clock.nowMillis()).forEach(onGranted)
+        if (gate.isEmpty) gates -= targetId
+    }
+
+    /** Gives the turns that have come since time has passed; called every few milliseconds. */
+    fun tick() {
+        gates.values.toList().forEach { it.tick(clock.nowMillis()).forEach(onGranted) }
+        gates.values.removeIf { it.isEmpty }
+    }
+
+    private companion object {
+        /** Twice this part of a pause may be read within the pause; the rest goes into the tokens themselves. */
+        const val TOGETHER_FRACTION = 0.45
+    }
+}
--- /dev/null
+++ b/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnsTest.kt
@@ -0,0 +1,124 @@
+package org.banyanturn.entry.turns
+
+import org.banyanturn.core.TargetId
+import org.banyanturn.core.ZoneId
+import org.banyanturn.core.routing.PromptSpeed
+import org.banyanturn.core.serving.CallerLimits
+import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.EngineDirectory
+import org.banyanturn.core.serving.KnownTarget
+import org.banyanturn.core.serving.Route
+import org.banyanturn.core.serving.RouteKind
+import org.banyanturn.core.serving.RouteTarget
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.core.serving.TargetEntry
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.requests.FleetView
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+private const val TICK_MILLIS = 20L
+private const val PROMPT_TOKENS = 2_000L
+
+/** Two VMs that send prompts to one engine; the first of them owns it. */
+class PromptTurnsTest {
+    private var nowMillis = 0L
+    private val clock = ProcessClock { nowMillis }
+    private val service = ServiceName("llm")
+    private val target = KnownTarget(
+        TargetEntry(TargetId("i-1"), service, "10.0.0.1:80", ZoneId("z"), 12, false, null, null, emptyMap()),
+        entryAtMillis = 0,
+    )
+    private val log = ArrayList<String>()
+    private var isKeeperSilent = false
+    private val keeper = turnsOf("vm-1")
+    private val other = turnsOf("vm-2")
+
+    private fun catalog(): Catalog {
+        val routing = listOf(RouteTarget(service, 1.0))
+        val route =
+            Route("r", "h", "/r/", RouteKind.STREAM, routing, 15_000, 1_000, 1, 1, false, false, gapMillis = 300)
+        val limits = CallerLimits(16_384, 65_536, 5_000, 15_000)
+        return Catalog(version = 1, listOf(route), emptyMap(), emptyMap(), hasMembers = false, limits)
+    }
+
+    /** Engines read a token in 0.05 ms, so the prompts here take 100 ms each. */
+    private fun knownSpeed() = PromptSpeed().also { speed ->
+        repeat(20) { speed.record(promptTokens = 400L * (1 + it % 4), firstPartMillis = 30L + 20 * (1 + it % 4)) }
+    }
+
+    private fun turnsOf(host: String): PromptTurns {
+        val view = FleetView(clock, ZoneId("z"))
+        view.adopt(catalog())
+        view.adopt(EngineDirectory.empty().listed(target.entry, nowMillis))
+        return PromptTurns(view, clock, knownSpeed()).also { it.lines = LinesOf(host) }
+    }
+
+    private inner class LinesOf(private val self: String) : TurnLines {
+        override fun turnPlaceOrNull(targetId: TargetId) = TurnPlace(if (self == "vm-1") null else "vm-1")
+
+        override fun sendTurn(host: String, message: TurnMessage) {
+            if (isKeeperSilent) return
+            (if (host == "vm-1") keeper else other).onMessage(message, self)
+        }
+    }
+
+    private fun PromptTurns.take(name: String, untilMillis: Long = 800): PromptTurn =
+        turnAt(target, PROMPT_TOKENS, untilMillis).also { turn ->
+            turn.await({ log += "$name sent" }, { log += "$name queued" })
+        }
+
+    private fun runUntil(untilMillis: Long) {
+        while (nowMillis < untilMillis) {
+            nowMillis += TICK_MILLIS
+            keeper.tick()
+            other.tick()
+        }
+    }
+
+    @Test
+    fun `prompts of two VMs that would break a pause together are sent one after the other`() {
+        val first = keeper.take("a")
+        val second = other.take("b")
+        val third = keeper.take("c")
+        assertEquals(listOf("a sent", "b queued", "c queued"), log)
+        runUntil(100)
+        first.end()
+        assertEquals("b sent", log.last())
+        second.end()
+        assertEquals("c sent", log.last())
+        third.end()
+        assertEquals(false, keeper.isBusy || other.isBusy)
+    }
+
+    @Test
+    fun `a turn that is given up makes room for the next one`() {
+        val first = keeper.take("a")
+        val second = other.take("b")
+        other.take("c")
+        second.end()
+        first.end()
+        assertEquals(listOf("a sent", "b queued", "c queued", "c sent"), log)
+    }
+
+    @Test
+    fun `a prompt does not wait longer than its caller allows, nor for an owner that is silent`() {
+        keeper.take("a")
+        other.take("b", untilMillis = 200)
+        runUntil(200)
+        assertEquals(listOf("a sent", "b queued", "b sent"), log)
+        isKeeperSilent = true
+        other.take("c", untilMillis = 1_000)
+        runUntil(260)
+        assertEquals("c sent", log.last())
+    }
+
+    @Test
+    fun `a message that can't be understood changes nothing`() {
+        keeper.onMessage(TurnMessage(number = 1, stepNumber = 99, targetId = "i-1"), "vm-2")
+        keeper.onMessage(TurnMessage(number = 1, stepNumber = 1, targetId = "no id\n"), "vm-2")
+        keeper.onMessage(TurnMessage(number = 7, stepNumber = 3), "vm-2")
+        assertEquals(emptyList<String>(), log)
+        assertEquals(false, keeper.isBusy)
+    }
+}
