Give turns of prompts to members in equal turns, and write the rounds down

Cause: turns at an engine came in the order of asking, so that a member with many prompts held up those of all others there, up to their aim for the first event. Change: `PromptGate` takes the member first whose last turn is longest ago; messages name the member. Ruled out: `FairQueue`, which weighs cost but has no look at who is next without taking him out. Test: `a member with few prompts does not wait behind all those of a member with many`; it names an order that the code before does not give, and was written together with the change.

--- a/core/src/main/kotlin/org/banyanturn/core/routing/PromptGate.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/routing/PromptGate.kt
@@ -1,16 +1,24 @@
 package org.banyanturn.core.routing
 
+import org.banyanturn.core.MemberId
+
 /**
  * A prompt that is to be sent to an engine.
  *
+ * @property memberId whose prompt it is.
  * @property readMillis how long the engine takes to read it.
  * @property togetherMillis how long the engine may take for all prompts that it has not read, with this one.
  * @property untilMillis when it is sent at the latest, whatever else the engine reads.
  */
-public data class GatedPrompt(val readMillis: Double, val togetherMillis: Double, val untilMillis: Long)
+public data class GatedPrompt(
+    val memberId: MemberId,
+    val readMillis: Double,
+    val togetherMillis: Double,
+    val untilMillis: Long,
+)
 
 /**
- * Decides when prompts may be sent to one engine, in the order in which they are asked for; not safe for use by several
+ * Decides when prompts may be sent to one engine, with equal turns between members; not safe for use by several
  * threads.
  *
  * Load pattern: an engine reads prompts between the tokens of all that it runs. Prompts that arrive together from many
@@ -24,6 +32,8 @@
 public class PromptGate<K : Any>(private val lostMillis: Long = LOST_MILLIS) {
     private val waiting = LinkedHashMap<K, GatedPrompt>()
     private val unread = LinkedHashMap<K, SentPrompt>()
+    private val lastTurns = HashMap<MemberId, Long>()
+    private var turns = 0L
 
     /** Whether no prompt waits and none is known to be unread. */
     public val isEmpty: Boolean
@@ -57,18 +67,23 @@
         overdue.forEach { send(it, nowMillis) }
         val admitted = ArrayList(overdue)
         while (true) {
-            val key = waiting.entries.firstOrNull()?.takeIf { fits(it.value) }?.key ?: return admitted
+            val key = nextOrNull()?.takeIf { fits(it.value) }?.key ?: return admitted
             send(key, nowMillis)
             admitted += key
         }
     }
 
+    /** The member whose last turn is longest ago goes first; within a member the order of asking holds. */
+    private fun nextOrNull(): Map.Entry<K, GatedPrompt>? =
+        waiting.entries.minByOrNull { lastTurns[it.value.memberId] ?: 0 }
+
     private fun fits(prompt: GatedPrompt): Boolean =
         unread.isEmpty() || unreadMillis() + prompt.readMillis <= prompt.togetherMillis
 
     private fun send(key: K, nowMillis: Long) {
         val prompt = waiting.remove(key) ?: return
         unread[key] = SentPrompt(prompt, nowMillis)
+        lastTurns[prompt.memberId] = ++turns
     }
 
     private companion object {
--- a/core/src/test/kotlin/org/banyanturn/core/routing/PromptGateTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/PromptGateTest.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.core.routing
 
+import org.banyanturn.core.MemberId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -20,15 +21,15 @@
 class PromptGateTest {
     private val gate = PromptGate<Int>()
 
-    private fun prompt(readMillis: Double, untilMillis: Long = 10_000) =
-        GatedPrompt(readMillis, TOGETHER_MILLIS, untilMillis)
+    private fun prompt(readMillis: Double, untilMillis: Long = 10_000, member: String = "growers") =
+        GatedPrompt(MemberId(member), readMillis, TOGETHER_MILLIS, untilMillis)
 
     @Test
     fun `prompts that fit into half a pause together are sent at once, the next one when one of them was read`() {
         assertEquals(listOf(1), gate.ask(1, prompt(60.0), 0))
         assertEquals(listOf(2), gate.ask(2, prompt(70.0), 1))
         assertEquals(emptyList<Int>(), gate.ask(3, prompt(50.0), 2))
-        assertEquals(emptyList<Int>(), gate.ask(4, prompt(1.0), 3), "in the order in which they were asked for")
+        assertEquals(emptyList<Int>(), gate.ask(4, prompt(1.0), 3), "it does not overtake the one before")
         assertEquals(listOf(3, 4), gate.finished(1, 90))
     }
 
@@ -47,6 +48,18 @@
         assertEquals(listOf(2), gate.tick(400))
     }
 
+    /** Load: a large member sends many prompts to an engine at which a small one sends few. */
+    @Test
+    fun `a member with few prompts does not wait behind all those of a member with many`() {
+        repeat(8) { gate.ask(it, prompt(100.0, member = "large"), 0) }
+        gate.ask(20, prompt(100.0, member = "small"), 1)
+        gate.ask(21, prompt(100.0, member = "small"), 2)
+        assertEquals(listOf(20), gate.finished(0, 150))
+        assertEquals(listOf(1), gate.finished(20, 300))
+        assertEquals(listOf(21), gate.finished(1, 450))
+        assertEquals(listOf(2), gate.finished(21, 600))
+    }
+
     @Test
     fun `asking twice, or telling of the end twice, changes nothing`() {
         gate.ask(1, prompt(100.0), 0)
@@ -129,7 +142,7 @@
         val stream = streams[index]
         val readMillis = stream.tokens / TOKENS_PER_MILLI * error
         val untilMillis = stream.arrivedMillis.roundToLong() + FIRST_PART_MILLIS
-        val prompt = GatedPrompt(readMillis, TOGETHER_MILLIS, untilMillis)
+        val prompt = GatedPrompt(MemberId("growers"), readMillis, TOGETHER_MILLIS, untilMillis)
         admit(gate.ask(index, prompt, atMillis.roundToLong()), atMillis)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -19,6 +19,7 @@
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.entry.http.CallerListener
 import org.banyanturn.entry.observe.RequestTrail
+import org.banyanturn.entry.turns.TurnPrompt
 import org.banyanturn.platform.hosted.TargetHeaders
 import java.util.concurrent.TimeUnit
 
@@ -40,7 +41,7 @@
     private val times = environment.timesOf(route.name)
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
-    override val promptTokens = admission.call.tokens?.prompt ?: 0
+    private val promptTokens = admission.call.tokens?.prompt ?: 0
     private var life = RequestLife(
         DeliveryRequest(requestId(), memberId, route.mayRepeat, idempotencyKey = null, deadlineMillis),
     )
@@ -172,6 +173,9 @@
         if (takesTurns) turns.take(target) else sendTo(target)
     }
 
+    override val prompt: TurnPrompt
+        get() = TurnPrompt(memberId ?: RequestEnvironment.PUBLIC_MEMBER, promptTokens)
+
     override fun sendByMillis(): Long =
         minOf(startByMillis, exchange.arrivedAtMillis + route.targetLatencyMillis - times.firstPartMillis())
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TurnTaker.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TurnTaker.kt
@@ -2,14 +2,15 @@
 
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.entry.turns.PromptTurn
+import org.banyanturn.entry.turns.TurnPrompt
 
 /** A request whose prompt takes turns. */
 internal interface TurnRequest {
     /** What it needs of a target. */
     val need: TargetNeed
 
-    /** How many tokens its prompt has. */
-    val promptTokens: Long
+    /** Its prompt. */
+    val prompt: TurnPrompt
 
     /** Returns when its prompt must be sent at the latest. */
     fun sendByMillis(): Long
@@ -36,7 +37,7 @@
     /** Sends the request to [target], or to one that takes it sooner, when its turn has come. */
     fun take(target: KnownTarget) {
         end()
-        val taken = environment.turns.turnAt(target, request.promptTokens, request.sendByMillis())
+        val taken = environment.turns.turnAt(target, request.prompt, request.sendByMillis())
         turn = taken
         askedAtMillis = environment.clock.nowMillis()
         taken.await({ onTurn(target) }, { lookElsewhere(target) })
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurns.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurns.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.turns
 
+import org.banyanturn.core.MemberId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.isIdentifier
 import org.banyanturn.core.routing.PromptSpeed
@@ -54,17 +55,17 @@
     val isBusy: Boolean
         get() = waiting.isNotEmpty() || keeper.isBusy
 
-    /** Returns a turn for a prompt of [promptTokens] at [target], which comes by [untilMillis] at the latest. */
-    fun turnAt(target: KnownTarget, promptTokens: Long, untilMillis: Long): PromptTurn {
+    /** Returns a turn for [prompt] at [target], which comes by [untilMillis] at the latest. */
+    fun turnAt(target: KnownTarget, prompt: TurnPrompt, untilMillis: Long): PromptTurn {
         val targetId = target.entry.targetId
-        return OwnTurn(numbers.next(), targetId, lines.turnPlaceOrNull(targetId), promptTokens, untilMillis)
+        return OwnTurn(numbers.next(), targetId, lines.turnPlaceOrNull(targetId), prompt, untilMillis)
     }
 
     private inner class OwnTurn(
         private val number: Long,
         private val targetId: TargetId,
         private val place: TurnPlace?,
-        private val promptTokens: Long,
+        private val prompt: TurnPrompt,
         private val untilMillis: Long,
     ) : PromptTurn {
         private var isEnded = false
@@ -76,7 +77,7 @@
             val host = place?.host
             when {
                 place == null -> grant(number)
-                host == null -> onAnswer(number, keeper.ask(TurnKey(null, number), targetId, promptTokens, waitMillis))
+                host == null -> onAnswer(number, keeper.ask(TurnKey(null, number), targetId, prompt, waitMillis))
                 else -> askAt(host, waitMillis)
             }
         }
@@ -84,7 +85,14 @@
         private fun askAt(host: String, waitMillis: Long) {
             lines.sendTurn(
                 host,
-                TurnMessage(number, TurnStep.ASKED.number, targetId.value, promptTokens, waitMillis),
+                TurnMessage(
+                    number,
+                    TurnStep.ASKED.number,
+                    targetId.value,
+                    prompt.tokens,
+                    waitMillis,
+                    memberId = prompt.memberId.value,
+                ),
             )
             if (waitMillis == 0L) grant(number)
         }
@@ -143,8 +151,9 @@
 
     private fun onAsked(message: TurnMessage, senderHost: String) {
         val targetId = targetOrNull(message) ?: return
-        val key = TurnKey(senderHost, message.number)
-        val answer = keeper.ask(key, targetId, message.promptTokens.coerceAtLeast(0), message.waitMillis)
+        val memberId = message.memberId.takeIf(::isIdentifier)?.let(::MemberId) ?: return
+        val prompt = TurnPrompt(memberId, message.promptTokens.coerceAtLeast(0))
+        val answer = keeper.ask(TurnKey(senderHost, message.number), targetId, prompt, message.waitMillis)
         val step = if (answer.isGranted) TurnStep.GRANTED else TurnStep.QUEUED
         lines.sendTurn(
             senderHost,
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnKeeper.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnKeeper.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.turns
 
+import org.banyanturn.core.MemberId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.routing.GatedPrompt
 import org.banyanturn.core.routing.PromptGate
@@ -10,6 +11,9 @@
 /** Names a turn: the VM that asked by its host, `null` for this one, and its number there. */
 internal data class TurnKey(val host: String?, val number: Long)
 
+/** A prompt of [tokens] that a member wants to send. */
+internal class TurnPrompt(val memberId: MemberId, val tokens: Long)
+
 /** What a VM hears that has asked: whether it may send its prompt, and how long the prompts before it take. */
 internal class TurnAnswer(val isGranted: Boolean, val backlogMillis: Long)
 
@@ -27,13 +31,13 @@
         get() = gates.isNotEmpty()
 
     /** Returns whether a prompt may be sent at once; otherwise [onGranted] is called when its turn has come. */
-    fun ask(key: TurnKey, targetId: TargetId, promptTokens: Long, waitMillis: Long): TurnAnswer {
+    fun ask(key: TurnKey, targetId: TargetId, prompt: TurnPrompt, waitMillis: Long): TurnAnswer {
         val togetherMillis = togetherMillisOrNull(targetId) ?: return TurnAnswer(isGranted = true, backlogMillis = 0)
         val nowMillis = clock.nowMillis()
-        val readMillis = promptTokens * (promptSpeed.millisPerTokenOrNull() ?: 0.0)
-        val prompt = GatedPrompt(readMillis, togetherMillis, nowMillis + waitMillis)
+        val readMillis = prompt.tokens * (promptSpeed.millisPerTokenOrNull() ?: 0.0)
+        val gated = GatedPrompt(prompt.memberId, readMillis, togetherMillis, nowMillis + waitMillis)
         val gate = gates.getOrPut(targetId, ::PromptGate)
-        val granted = gate.ask(key, prompt, nowMillis)
+        val granted = gate.ask(key, gated, nowMillis)
         granted.filterNot { it == key }.forEach(onGranted)
         return TurnAnswer(key in granted, (gate.backlogMillis() - readMillis).toLong().coerceAtLeast(0))
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnMessage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnMessage.kt
@@ -25,7 +25,7 @@
  * What one VM tells another about the turn [number] of the VM that asked.
  *
  * @property stepNumber the number of a [TurnStep].
- * @property waitMillis how long the prompt may wait at most; with [TurnStep.ASKED] only, as are the tokens.
+ * @property waitMillis how long the prompt may wait at most; with [TurnStep.ASKED] only, as are tokens and member.
  * @property backlogMillis how long the engine takes for all prompts before this one; in answers only.
  */
 @Serializable
@@ -36,6 +36,7 @@
     @ProtoNumber(4) val promptTokens: Long = 0,
     @ProtoNumber(5) val waitMillis: Long = 0,
     @ProtoNumber(6) val backlogMillis: Long = 0,
+    @ProtoNumber(7) val memberId: String = "",
 ) {
     /** What is said, or `null` if a newer VM says something that is not known here. */
     val step: TurnStep?
--- a/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnsTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnsTest.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.turns
 
+import org.banyanturn.core.MemberId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.routing.PromptSpeed
@@ -64,7 +65,7 @@
     }
 
     private fun PromptTurns.take(name: String, untilMillis: Long = 800): PromptTurn =
-        turnAt(target, PROMPT_TOKENS, untilMillis).also { turn ->
+        turnAt(target, TurnPrompt(MemberId("growers"), PROMPT_TOKENS), untilMillis).also { turn ->
             turn.await({ log += "$name sent" }, { log += "$name queued" })
         }
 
