--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -119,6 +119,9 @@
     /** A stream was aborted after it had started. */
     STREAM_ABORTED(2011, Level.WARN, "a stream was aborted"),
 
+    /** A target's response ended with its connection, without a length or chunks that mark its end. */
+    RESPONSE_ENDED_BY_CLOSE(2012, Level.INFO, "a response ended with its connection"),
+
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
+import org.banyanturn.core.delivery.AnswerFraming
 import org.banyanturn.platform.hosted.HttpExchangeCall
 import org.banyanturn.platform.hosted.HttpExchangeFailure
 import org.banyanturn.platform.hosted.HttpExchangeReply
@@ -81,7 +82,7 @@
         content.readBytes(body, content.readableBytes())
     }
 
-    override fun onEnd() {
+    override fun onEnd(framing: AnswerFraming) {
         val response = checkNotNull(head) { "the response ended before its head was received" }
         val headers = response.headers().associate { it.key.lowercase() to it.value }
         result.complete(Ok(HttpExchangeReply(response.status().code(), headers, body.toByteArray())))
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.delivery.AnswerFraming
 
 /**
  * Describes why an attempt has ended without a complete response.
@@ -34,8 +35,8 @@
     /** Called when a part of the response body was received; [content] is valid during the call only. */
     fun onBody(content: ByteBuf)
 
-    /** Called when the response is complete according to its framing. */
-    fun onEnd()
+    /** Called when the response is complete according to its [framing]. */
+    fun onEnd(framing: AnswerFraming)
 
     /** Called when the attempt has ended without a complete response. */
     fun onFailure(failure: AttemptFailure)
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.banyanturn.core.delivery.AnswerFraming
 
 private const val STATUS_CONTINUE = 100
 private const val FIRST_FINAL_STATUS = 200
@@ -32,6 +33,7 @@
     private var listener: AttemptListener? = null
     private var matcher: ResponseMatcher? = null
     private var responseState = ResponseState.NONE
+    private var framing = AnswerFraming.LENGTH
     private var mayReuse = true
     private var isRequestWritten = false
     private var failureCause: Throwable? = null
@@ -112,6 +114,7 @@
             responseState = ResponseState.INTERIM
             return
         }
+        framing = framingOf(response)
         if (!HttpUtil.isKeepAlive(response) || !hasExplicitFraming(response)) mayReuse = false
         if (matcher?.matches(response.headers()) != true) {
             responseState = ResponseState.UNMATCHED
@@ -122,6 +125,13 @@
         listener?.onHead(response)
     }
 
+    private fun framingOf(response: HttpResponse): AnswerFraming =
+        when {
+            HttpUtil.isTransferEncodingChunked(response) -> AnswerFraming.CHUNKS
+            HttpUtil.isContentLengthSet(response) -> AnswerFraming.LENGTH
+            else -> AnswerFraming.CONNECTION
+        }
+
     private fun hasExplicitFraming(response: HttpMessage): Boolean =
         HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
 
@@ -139,10 +149,11 @@
         val cause = failureCause
         if (cause != null) return fail(AttemptFailureKind.BROKEN, "the connection broke: $cause")
         val endedListener = listener ?: return
+        val endedFraming = if (channel.isActive && framing == AnswerFraming.CONNECTION) AnswerFraming.LENGTH else framing
         listener = null
         channel.config().isAutoRead = true
         if (mayReuse && isRequestWritten && channel.isActive) onIdle(this) else close()
-        endedListener.onEnd()
+        endedListener.onEnd(endedFraming)
     }
 
     private fun fail(kind: AttemptFailureKind, reason: String) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestDecisionLog.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/RequestDecisionLog.kt
@@ -66,6 +66,16 @@
             field("reason", reason),
         )
 
+    /** Records that the response of [targetId] ended with its connection after [events] complete events of a stream. */
+    fun endedByClose(attemptId: String, targetId: String, events: Int, partialBytes: Int): Unit =
+        addNotable(
+            Event.RESPONSE_ENDED_BY_CLOSE,
+            field("attempt", attemptId),
+            field("target", targetId),
+            field("events", events),
+            field("partialBytes", partialBytes),
+        )
+
     fun aborted(reason: String): Unit = addNotable(Event.STREAM_ABORTED, field("reason", reason))
 
     fun callerGone(): Unit = addNotable(Event.CALLER_GONE)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.delivery.AnswerFraming
 import org.banyanturn.core.delivery.AttemptEvidence
 import org.banyanturn.core.delivery.AttemptId
 import org.banyanturn.core.placement.CopyName
@@ -45,6 +46,7 @@
     private var responseHeaders: TargetAnswerHeaders? = null
     private var body: CompositeByteBuf? = null
     private val events = EventSplitter()
+    private var eventCount = 0
 
     /** The time until the first part of the response, in milliseconds; 0 until it has arrived. */
     var firstPartMillis = 0L
@@ -104,7 +106,10 @@
     override fun onBody(content: ByteBuf) {
         if (isSettled) return
         if (!isStreaming) return collect(content)
-        events.add(content) { event -> if (!isSettled) receiver.onStreamPart(this, event) }
+        events.add(content) { event ->
+            eventCount++
+            if (!isSettled) receiver.onStreamPart(this, event)
+        }
         if (events.partialBytes > MAX_EVENT_BYTES) abortOversized("an event")
     }
 
@@ -114,8 +119,11 @@
         collected.addComponent(true, content.retain())
     }
 
-    override fun onEnd() {
+    override fun onEnd(framing: AnswerFraming) {
         if (isSettled) return
+        if (framing == AnswerFraming.CONNECTION) {
+            receiver.decisionLog.endedByClose(attemptId.value, target.entry.targetId.value, eventCount, events.partialBytes)
+        }
         val headers = checkNotNull(responseHeaders) { "the response ended before its head" }
         val code = responseHead.status().code()
         settle()
