--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
@@ -45,7 +45,8 @@
 /** Runs an entry VM in this process, against a stand-in of the platform with two engines and a plain service. */
 internal class EntryFixture : AutoCloseable {
     val platform = HostedPlatformStandin()
-    private val callerPort = freePort()
+    /** The port at which the VM takes callers' requests. */
+    val callerPort = freePort()
     private val readinessPort = freePort()
     private val client = HttpClient.newHttpClient()
     private var process: EntryProcess? = null
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -5,6 +5,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.routing
+import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import java.util.concurrent.ConcurrentLinkedQueue
@@ -76,6 +77,19 @@
         store.write("keyed.servers", id, entry.toString())
     }
 
+    /** Lists a target that the caller runs itself at [port], with a model that it holds or none. */
+    public fun listForeign(id: String, service: String, port: Int, model: String? = null) {
+        val entry = buildJsonObject {
+            put("service", service)
+            put("address", "$host:$port")
+            put("zone", "zone-a")
+            put("slots", 48)
+            put("state", "ready")
+            model?.let { put("models", buildJsonArray { add(buildJsonObject { put("name", it) }) }) }
+        }
+        store.write("keyed.servers", id, entry.toString())
+    }
+
     /** Writes the entries of all targets anew, as their heartbeats do. */
     public fun listAll(): Unit = targets.keys.forEach { list(it) }
 
