Tell a stream that ends inside an event from a complete one

Cause: the codec's word that an answer's bytes have ended was taken for the word that the answer is complete. For an answer with neither a length nor chunks that is the mere end of the connection, and the rest of a begun event was forwarded and followed by a last chunk of our own.

Evidence: BrokenAnswerTest failed in four of seven cases on: expected null, but was '...id: 3\nda' in all three framings; expected the resumed stream, but was the broken one; an empty success for a stream without any event; 'Success(HTTP/1.1 200 OK ...)' for a caller without chunks.

Ruled out: resets and ends before the length or the last chunk; both were told in time, for streams and whole answers (the other cases of the test).

Change: core.delivery decides by framing and progress of the stream: complete, presumed complete, or broken off (AnswerFraming.answerEnd). A stream that stops inside an event is broken off whatever its framing says, and so is one without framing that stops before its first event. It goes the way of any broken attempt: resumed where the route allows it, else the caller's connection breaks. A caller that gets no chunks has its connection reset, as an orderly close would end the answer for it.

EventSplitterTest compares the count of buffered bytes in place of the bytes that were forwarded until now; each byte is still accounted for.

Result: all cases of BrokenAnswerTest, AnswerEndTest, EventSplitterTest and EntryProcessTest pass.

--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -108,9 +109,14 @@
         end(keepsConnection && isChunked && !isClosing())
     }
 
-    /** Ends the exchange and closes the connection, so that a partial response does not look complete. */
+    /**
+     * Ends the exchange and closes the connection, so that a partial response does not look complete.
+     *
+     * A response without chunks ends with its connection, so the connection is reset instead.
+     */
     fun abort() {
         if (hasEnded) return
+        if (hasStarted && !isChunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         end(isKept = false)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/EventRelay.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EventRelay.kt
@@ -1,6 +1,5 @@
 package org.banyanturn.entry.requests
 
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpResponse
 import org.banyanturn.entry.http.CallerExchange
@@ -30,13 +29,8 @@
         return true
     }
 
-    /** Forwards [rest], the bytes after the last complete event of a stream that has ended. */
-    fun forwardRest(rest: ByteBuf, head: HttpResponse) {
-        start(head)
-        if (rest.isReadable) exchange.write(rest) else rest.release()
-    }
-
-    private fun start(head: HttpResponse) {
+    /** Sends [head] to the caller, unless a head was sent before; the stream may have no events. */
+    fun start(head: HttpResponse) {
         if (hasStarted) return
         hasStarted = true
         exchange.startResponse(head.status().code(), callerAnswerHeaders(head.headers()))
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
@@ -1,7 +1,6 @@
 package org.banyanturn.entry.requests
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 
 /**
  * Represents one complete event of a stream, including the blank line that ends it.
@@ -20,10 +19,6 @@
     val partialBytes: Int
         get() = length
 
-    /** Whether bytes of an incomplete event are buffered. */
-    val hasPartialEvent: Boolean
-        get() = length > 0
-
     /** Appends [content] and calls [onEvent] with each event that it completes. */
     fun add(content: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         append(content)
@@ -36,9 +31,6 @@
         }
     }
 
-    /** Returns the buffered bytes of the incomplete event and clears the buffer. */
-    fun takeRest(): ByteBuf = Unpooled.wrappedBuffer(pending.copyOf(length)).also { remove(length) }
-
     private fun append(content: ByteBuf) {
         val added = content.readableBytes()
         if (length + added > pending.size) pending = pending.copyOf(maxOf(pending.size * 2, length + added))
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -5,9 +5,12 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.delivery.AnswerEnd
 import org.banyanturn.core.delivery.AnswerFraming
 import org.banyanturn.core.delivery.AttemptEvidence
 import org.banyanturn.core.delivery.AttemptId
+import org.banyanturn.core.delivery.StreamProgress
+import org.banyanturn.core.delivery.answerEnd
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.logs.Event
@@ -67,9 +70,6 @@
     /** Returns the time since the attempt was sent, in milliseconds. */
     fun elapsedMillis(): Long = environment.clock.nowMillis() - sentAtMillis
 
-    /** Returns the bytes after the last complete event of a stream. */
-    fun takeRest(): ByteBuf = events.takeRest()
-
     /** Cancels the attempt, which also signals to the target that its response is no longer needed. */
     fun cancel() {
         if (isSettled) return
@@ -130,6 +130,7 @@
         when {
             headers.isNotRun -> handleNotRun(code)
             code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
+            isBrokenOff(framing) -> failBrokenStream()
             isStreaming -> succeed { receiver.onStreamEnd(this) }
             code in SUCCESS -> succeed { receiver.onResponse(this, takeResponse()) }
             else -> handleErrorStatus(code)
@@ -137,6 +138,16 @@
         environment.waitQueue.dispatch()
     }
 
+    private fun isBrokenOff(framing: AnswerFraming): Boolean =
+        framing.answerEnd(if (isStreaming) streamProgress() else null) == AnswerEnd.BROKEN_OFF
+
+    private fun streamProgress() = StreamProgress(eventCount, events.partialBytes)
+
+    private fun failBrokenStream() {
+        recordFailure()
+        fail(AttemptEvidence.UNKNOWN, "the stream broke off after $eventCount events")
+    }
+
     private fun succeed(deliver: () -> Unit) {
         state.breaker =
             state.breaker.firstTokenReceived(firstPartMillis.toDouble(), null, environment.clock.nowMillis())
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -233,7 +233,7 @@
 
     override fun onStreamEnd(attempt: OpenAttempt) {
         if (attempt !== currentAttempt) return
-        relay.forwardRest(attempt.takeRest(), attempt.responseHead)
+        relay.start(attempt.responseHead)
         currentAttempt = null
         latencies.record(attempt.firstPartMillis, attempt.elapsedMillis())
         environment.crashes.onResponseCompleted(exchange)
--- a/entry/src/test/kotlin/org/banyanturn/entry/EventSplitterTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EventSplitterTest.kt
@@ -4,8 +4,6 @@
 import org.banyanturn.entry.requests.EventSplitter
 import org.banyanturn.entry.requests.StreamEvent
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertFalse
-import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -32,9 +30,8 @@
             }
             val (events, splitter) = split(parts)
             assertEquals((1L..20L).toList(), events.map { it.id }, "seed $seed")
-            assertTrue(splitter.hasPartialEvent)
-            val joined =
-                events.joinToString("") { it.bytes.decodeToString() } + splitter.takeRest().toString(Charsets.UTF_8)
+            assertEquals("id: 21\ndata: cut".length, splitter.partialBytes, "seed $seed")
+            val joined = events.joinToString("") { it.bytes.decodeToString() } + "id: 21\ndata: cut"
             assertEquals(text, joined, "seed $seed")
         }
     }
@@ -43,6 +40,6 @@
     fun `lines may end with CRLF, and events may have no id`() {
         val (events, splitter) = split(listOf("data: a\r\n\r\n", "weight-versions: 3\nid: 4\ndata: b\n\n"))
         assertEquals(listOf(null, 4L), events.map { it.id })
-        assertFalse(splitter.hasPartialEvent)
+        assertEquals(0, splitter.partialBytes)
     }
 }
