Refuse requests with a prompt part under which engines crash, and only these

Cause: evidence on crashes was kept for whole requests (path, key, body), and these are no two alike. What one VM saw was told once, in one datagram, and lost at a restart; and the check was made on arrival only, while requests wait for seconds before they are sent or are tried again.

Evidence: CrashingPromptPartTest, with engines that are listed anew after each crash, fails without the change: 'requests with the part still reach engines after 24 crashes'.

Change: core.delivery.PromptPartLedger attributes the crash of one life of an engine to the parts of the lost requests, all but the last one, which is the request's own. A part crashes each engine, so a complete answer (by its length or chunks) clears it, and parts known from complete answers aren't blamed beside one that is not. Three separate crashes block a part, five one that was sound before; connections that break within 300 ms count once, as a network fault breaks many. Requests with a blocked part are refused on arrival and right before each send, as not run if nothing was sent. Each VM tells suspicions and verdicts to all at once and repeats verdicts to three others each second, for those that lost a datagram or have just started; a VM that knows of a complete answer objects, which lifts the verdict everywhere.

Ruled out: blocking by key, route or first part, which sound requests share; blocking at the second crash, since whatever else ran on an ended engine is lost with it and has crashes to its name too.

Result: CrashingPromptPartTest passes (five requests reach engines at most, sound ones with the same first part are answered), as do PromptPartLedgerTest and PromptPartTrackerTest.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -92,6 +92,16 @@
     /** A target's response has a malformed header about further requests. */
     NOTICE_UNREADABLE(1123, Level.WARN, "a malformed header about further requests was ignored"),
 
+    /** Requests with a part of a prompt are refused, since targets crashed under such requests. */
+    PROMPT_PART_BLOCKED(
+        1124,
+        Level.WARN,
+        "requests with a part of a prompt are refused, since targets crash under them",
+    ),
+
+    /** Requests with a part of a prompt are served again. */
+    PROMPT_PART_RELEASED(1125, Level.INFO, "requests with a part of a prompt are served again"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -47,6 +47,7 @@
 import org.banyanturn.entry.requests.CrashTracker
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
+import org.banyanturn.entry.requests.PromptPartTracker
 import org.banyanturn.entry.requests.RequestEnvironment
 import org.banyanturn.entry.requests.RequestHandler
 import org.banyanturn.entry.requests.ServiceRetryBudgets
@@ -136,9 +137,10 @@
     private val copyRequests = CopyRequestTracker(view, clock, log, requestNumbers)
     private val suspensionMonitor = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
     private val crashes = CrashTracker(self.incarnation, System::currentTimeMillis)
+    private val promptParts = PromptPartTracker(log, clock::nowMillis)
     private val environment = RequestEnvironment(
-        clock, loop, view, connectionPool, placement, waitQueue, copyRequests, limits, retries, crashes, log, metrics,
-        random,
+        clock, loop, view, connectionPool, placement, waitQueue, copyRequests, limits, retries, crashes, promptParts,
+        log, metrics, random,
     )
     private val engines = OwnedEngineController(
         vmName = boot.vmId.value,
@@ -155,7 +157,7 @@
     private val handler = RequestHandler(environment)
     private val peerMessenger = PeerMessenger(
         self, ownership, liveness, allotments, copyRequests, planner, engines, view, platformLists.relay, crashes,
-        environment.turns,
+        promptParts, environment.turns,
     )
     private val pendingRequests = object : PendingRequests {
         override fun requirementsOrNull(copy: CopyName): TargetRequirements? = waitQueue.requirementsOrNull(copy)
@@ -238,6 +240,7 @@
 
     private fun connectComponents() {
         crashes.onRecord = peerMessenger::sendCrashRecord
+        promptParts.onRecord = peerMessenger::sendPromptPartRecord
         environment.onTargetDead = peerMessenger::sendDeadTarget
         environment.turns.transport = peerMessenger
         copyRequests.transport = peerMessenger
@@ -283,6 +286,7 @@
         liveness.refresh()
         liveness.setCollecting(allotments.collectorVms().any(ownership::isSelf))
         peerMessenger.sendHeartbeats()
+        peerMessenger.repeatPromptPartVerdicts()
         allotments.dropUnownedCollectors()
         engines.onDirectory()
         planner.startDueLoads(peerMessenger::isPlanner)
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -149,7 +149,13 @@
         val cause = failureCause
         if (cause != null) return fail(AttemptFailureKind.BROKEN, "the connection broke: $cause")
         val endedListener = listener ?: return
-        val endedFraming = if (channel.isActive && framing == AnswerFraming.CONNECTION) AnswerFraming.LENGTH else framing
+        val endedFraming = if (channel.isActive &&
+            framing == AnswerFraming.CONNECTION
+        ) {
+            AnswerFraming.LENGTH
+        } else {
+            framing
+        }
         listener = null
         channel.config().isAutoRead = true
         if (mayReuse && isRequestWritten && channel.isActive) onIdle(this) else close()
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -32,6 +32,7 @@
     @ProtoNumber(13) val isInGroup: Boolean = false,
     @ProtoNumber(14) val deadTargets: List<String> = emptyList(),
     @ProtoNumber(15) val turns: List<TurnMessage> = emptyList(),
+    @ProtoNumber(16) val promptPartRecords: List<String> = emptyList(),
 )
 
 /** Reports the usage of a member at the sender to the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -24,6 +24,7 @@
 import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.CrashTracker
 import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.requests.PromptPartTracker
 import org.banyanturn.entry.turns.PromptTurnCoordinator
 import org.banyanturn.entry.turns.TurnMessage
 import org.banyanturn.entry.turns.TurnOwner
@@ -32,6 +33,9 @@
 /** Value of [CopyReplyMessage.readyInMillis] for a declined request. */
 private const val DECLINED = -1L
 
+/** The number of VMs to which a VM repeats its verdicts each second. */
+private const val VERDICT_FAN_OUT = 3
+
 /** Sends the messages of this VM's components to other VMs, and dispatches received datagrams to the components. */
 internal class PeerMessenger(
     private val self: Peer,
@@ -44,6 +48,7 @@
     private val view: FleetView,
     private val relay: CatalogRelay,
     private val crashes: CrashTracker,
+    private val promptParts: PromptPartTracker,
     private val turns: PromptTurnCoordinator,
 ) : CopyRequestTransport, ModelLoadTransport, TurnTransport {
     private val readyWaiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
@@ -78,6 +83,18 @@
         otherVms().forEach { send(it.host, crashRecords = listOf(payload)) }
     }
 
+    /** Sends all VMs a record with evidence about a part of prompts that may crash targets. */
+    fun sendPromptPartRecord(payload: String) {
+        otherVms().forEach { send(it.host, promptPartRecords = listOf(payload)) }
+    }
+
+    /** Repeats the verdicts on parts of prompts to a few VMs, so that each VM soon has them; called once a second. */
+    fun repeatPromptPartVerdicts() {
+        val verdicts = promptParts.drainVerdicts()
+        if (verdicts.isEmpty()) return
+        otherVms().shuffled().take(VERDICT_FAN_OUT).forEach { send(it.host, promptPartRecords = verdicts) }
+    }
+
     /** Reports to the planner of the service of [target] that connections to the target are refused. */
     fun sendDeadTarget(target: KnownTarget) {
         val peer = plannerOrNull(target.entry.service)?.takeUnless(ownership::isSelf) ?: return
@@ -199,6 +216,7 @@
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.recordUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::onCopyLeaving)
         datagram.crashRecords.forEach(crashes::onPeerRecord)
+        datagram.promptPartRecords.forEach(promptParts::onPeerRecord)
         datagram.deadTargets.filter(::isIdentifier).mapNotNull {
             view.directory.targets[TargetId(it)]
         }.forEach(view::recordConnectionRefused)
@@ -259,6 +277,7 @@
         leaving: List<CopyLocationMessage> = emptyList(),
         demands: List<DemandMessage> = emptyList(),
         crashRecords: List<String> = emptyList(),
+        promptPartRecords: List<String> = emptyList(),
         deadTargets: List<String> = emptyList(),
         turns: List<TurnMessage> = emptyList(),
         isLeaving: Boolean = false,
@@ -275,6 +294,7 @@
             leaving = leaving,
             demands = demands,
             crashRecords = crashRecords,
+            promptPartRecords = promptPartRecords,
             deadTargets = deadTargets,
             turns = turns,
             isLeaving = isLeaving,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -49,7 +49,18 @@
     private var responseHeaders: TargetAnswerHeaders? = null
     private var body: CompositeByteBuf? = null
     private val events = EventSplitter()
-    private var eventCount = 0
+
+    /** The number of complete events that the stream has brought. */
+    var eventCount = 0
+        private set
+
+    /** Whether the connection was lost, or the target broke its stream off, after the request was sent. */
+    var isLost = false
+        private set
+
+    /** Whether the response was a stream that its framing states to be complete. */
+    var isProvenComplete = false
+        private set
 
     /** The time until the first part of the response, in milliseconds; 0 until it has arrived. */
     var firstPartMillis = 0L
@@ -122,15 +133,22 @@
     override fun onEnd(framing: AnswerFraming) {
         if (isSettled) return
         if (framing == AnswerFraming.CONNECTION) {
-            receiver.decisionLog.endedByClose(attemptId.value, target.entry.targetId.value, eventCount, events.partialBytes)
+            receiver.decisionLog.endedByClose(
+                attemptId.value,
+                target.entry.targetId.value,
+                eventCount,
+                events.partialBytes,
+            )
         }
         val headers = checkNotNull(responseHeaders) { "the response ended before its head" }
         val code = responseHead.status().code()
+        val end = endOf(framing)
+        isProvenComplete = isStreaming && end == AnswerEnd.COMPLETE
         settle()
         when {
             headers.isNotRun -> handleNotRun(code)
             code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
-            isBrokenOff(framing) -> failBrokenStream()
+            end == AnswerEnd.BROKEN_OFF -> failBrokenStream()
             isStreaming -> succeed { receiver.onStreamEnd(this) }
             code in SUCCESS -> succeed { receiver.onResponse(this, takeResponse()) }
             else -> handleErrorStatus(code)
@@ -138,12 +156,13 @@
         environment.waitQueue.dispatch()
     }
 
-    private fun isBrokenOff(framing: AnswerFraming): Boolean =
-        framing.answerEnd(if (isStreaming) streamProgress() else null) == AnswerEnd.BROKEN_OFF
+    private fun endOf(framing: AnswerFraming): AnswerEnd =
+        framing.answerEnd(if (isStreaming) streamProgress() else null)
 
     private fun streamProgress() = StreamProgress(eventCount, events.partialBytes)
 
     private fun failBrokenStream() {
+        isLost = true
         recordFailure()
         fail(AttemptEvidence.UNKNOWN, "the stream broke off after $eventCount events")
     }
@@ -197,6 +216,7 @@
         if (isSettled) return
         settle()
         recordFailure()
+        isLost = failure.wasSent && failure.kind == AttemptFailureKind.BROKEN
         val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
         if (failure.kind == AttemptFailureKind.CONNECT) recordConnectionRefused()
         if (failure.kind == AttemptFailureKind.CONNECT_TIMEOUT) recordConnectTimeout()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -13,6 +13,7 @@
 import org.banyanturn.core.delivery.RequestId
 import org.banyanturn.core.delivery.RequestOutcome
 import org.banyanturn.core.delivery.RequestState
+import org.banyanturn.core.delivery.TargetLife
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.RouteKind
@@ -41,6 +42,7 @@
     private val latencies = environment.latenciesOf(route.name)
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
+    private val promptParts = if (copy == null) emptyList() else admission.call.sharedPromptParts
     private val promptTokens = admission.call.tokens?.prompt ?: 0
     private var state = RequestState(
         DeliveryRequest(requestId(), memberId, route.isRetryable, idempotencyKey = null, deadlineMillis),
@@ -180,6 +182,8 @@
     override fun reselectTarget(): Unit = selectTarget(avoidedTargetIds)
 
     override fun sendTo(target: KnownTarget) {
+        val blockedMillis = environment.blockedForMillisOrNull(exchange, promptParts)
+        if (blockedMillis != null) return handle(RequestEvent.FingerprintBlocked(blockedMillis))
         lastTarget = target
         handle(RequestEvent.TargetChosen(target.entry.targetId))
     }
@@ -237,6 +241,7 @@
         currentAttempt = null
         latencies.record(attempt.firstPartMillis, attempt.elapsedMillis())
         environment.crashes.onResponseCompleted(exchange)
+        if (attempt.isProvenComplete) environment.promptParts.onAnswerComplete(promptParts)
         val deliveredEvents = state.answer.deliveredTokens
         handle(RequestEvent.ChunkReceived(AnswerChunk.Finished(attempt.attemptId, deliveredEvents, finishReason = "")))
     }
@@ -261,6 +266,10 @@
             environment.crashes
                 .onConnectionLost(exchange, attempt.target.entry.targetId, hasAnswered = relay.hasStarted)
         }
+        if (attempt.isLost && attempt.eventCount <= MAX_EVENTS_BEFORE_CRASH) {
+            val entry = attempt.target.entry
+            environment.promptParts.onTargetLost(TargetLife(entry.targetId, entry.bornEpochMillis), promptParts)
+        }
         handle(RequestEvent.AttemptFailed(attempt.attemptId, evidence))
     }
 
@@ -341,6 +350,9 @@
     private companion object {
         const val STATUS_OK = 200
 
+        /** A target that a request crashes ends as it begins to answer; the events of its first step may get out. */
+        const val MAX_EVENTS_BEFORE_CRASH = 1
+
         /** Callers honour a retry delay of up to a third of their remaining time. */
         const val MAX_RETRY_AFTER_FRACTION = 0.32
     }
--- a/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
@@ -45,16 +45,25 @@
             null
         }
 
-    private fun answer(request: ReceivedRequest, framing: AnswerFraming, body: String, end: ConnectionEnd, isWhole: Boolean) =
-        ScriptedAnswer(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nServer-Seal: s\r\n" + framed(framing, body, isWhole),
-            end,
-        )
+    private fun answer(
+        request: ReceivedRequest,
+        framing: AnswerFraming,
+        body: String,
+        end: ConnectionEnd,
+        isWhole: Boolean,
+    ): ScriptedAnswer {
+        val head = "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nServer-Seal: s\r\n"
+        return ScriptedAnswer(head + framed(framing, body, isWhole), end)
+    }
 
     private fun framed(framing: AnswerFraming, body: String, isWhole: Boolean): String =
         when (framing) {
             AnswerFraming.LENGTH -> "Content-Length: ${body.length + if (isWhole) 0 else MISSING_BYTES}\r\n\r\n$body"
-            AnswerFraming.CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n${chunk(body)}${if (isWhole) "0\r\n\r\n" else ""}"
+
+            AnswerFraming.CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n${chunk(
+                body,
+            )}${if (isWhole) "0\r\n\r\n" else ""}"
+
             AnswerFraming.CONNECTION -> "\r\n$body"
         }
 
--- a/entry/src/test/kotlin/org/banyanturn/entry/CrashingPromptPartTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/CrashingPromptPartTest.kt
@@ -6,20 +6,30 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Guards against requests that crash engine after engine because of one part that their prompts share. */
 class CrashingPromptPartTest {
     private val fixture = EntryFixture()
     private val platform = fixture.platform
-    private val engines = (1..ENGINES).map { ScriptedTarget(::answer) }
+    private val crashes = AtomicInteger()
+    private val engines = (1..ENGINES).map { number -> ScriptedTarget { answer(number, it) } }
 
-    private fun answer(request: ReceivedRequest): ScriptedAnswer {
-        if (CRASHING_PART in request.headers["prompt-prefix"].orEmpty()) return ScriptedAnswer("", ConnectionEnd.RESET)
-        return ScriptedAnswer(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nServer-Seal: s\r\nContent-Length: ${STREAM.length}\r\n\r\n$STREAM",
-        )
+    private fun answer(number: Int, request: ReceivedRequest): ScriptedAnswer {
+        if (CRASHING_PART in request.headers["prompt-prefix"].orEmpty()) return crash(number)
+        val head = "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nServer-Seal: s\r\n"
+        return ScriptedAnswer("${head}Content-Length: ${STREAM.length}\r\n\r\n$STREAM")
+    }
+
+    /** The engine [number] ends, and its next life is listed. */
+    private fun crash(number: Int): ScriptedAnswer {
+        list(number, bornEpochMillis = 1L + crashes.incrementAndGet())
+        return ScriptedAnswer("", ConnectionEnd.RESET)
     }
 
+    private fun list(number: Int, bornEpochMillis: Long): Unit =
+        platform.listForeign("i-$number", "llm", engines[number - 1].port, model = "m0", bornEpochMillis)
+
     @AfterEach
     fun stop() {
         fixture.close()
@@ -32,7 +42,7 @@
             platform.startService("i-0", "cal")
         }
         platform.declare(fixture.hostedDocument())
-        engines.forEachIndexed { index, engine -> platform.listForeign("i-${index + 1}", "llm", engine.port, model = "m0") }
+        (1..ENGINES).forEach { list(it, bornEpochMillis = 1) }
         fixture.startEntry()
         fixture.awaitTrue("the VM is ready") { fixture.readinessStatus() == 200 }
     }
@@ -74,7 +84,7 @@
 
         /** Crashes after which no more requests may reach engines. */
         const val MAX_CRASHES = 5
-        const val SEPARATION_MILLIS = 400L
+        const val SEPARATION_MILLIS = 1_000L
         const val CRASHING_PART = "bad"
         const val STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
     }
--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
@@ -45,6 +45,7 @@
 /** Runs an entry VM in this process, against a stand-in of the platform with two engines and a plain service. */
 internal class EntryFixture : AutoCloseable {
     val platform = HostedPlatformStandin()
+
     /** The port at which the VM takes callers' requests. */
     val callerPort = freePort()
     private val readinessPort = freePort()
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -78,13 +78,14 @@
     }
 
     /** Lists a target that the caller runs itself at [port], with a model that it holds or none. */
-    public fun listForeign(id: String, service: String, port: Int, model: String? = null) {
+    public fun listForeign(id: String, service: String, port: Int, model: String? = null, bornEpochMillis: Long = 1) {
         val entry = buildJsonObject {
             put("service", service)
             put("address", "$host:$port")
             put("zone", "zone-a")
             put("slots", 48)
             put("state", "ready")
+            put("born", bornEpochMillis)
             model?.let { put("models", buildJsonArray { add(buildJsonObject { put("name", it) }) }) }
         }
         store.write("keyed.servers", id, entry.toString())
