--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -92,6 +92,16 @@
     /** A target's response has a malformed header about further requests. */
     NOTICE_UNREADABLE(1123, Level.WARN, "a malformed header about further requests was ignored"),
 
+    /** Requests with a part of a prompt are refused, since targets crashed under such requests. */
+    PROMPT_PART_BLOCKED(
+        1124,
+        Level.WARN,
+        "requests with a part of a prompt are refused, since targets crash under them",
+    ),
+
+    /** Requests with a part of a prompt are served again. */
+    PROMPT_PART_RELEASED(1125, Level.INFO, "requests with a part of a prompt are served again"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
@@ -119,6 +129,9 @@
     /** A stream was aborted after it had started. */
     STREAM_ABORTED(2011, Level.WARN, "a stream was aborted"),
 
+    /** A target's response ended with its connection, without a length or chunks that mark its end. */
+    RESPONSE_ENDED_BY_CLOSE(2012, Level.INFO, "a response ended with its connection"),
+
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -5,8 +5,12 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
+import org.banyanturn.core.delivery.AnswerEnd
+import org.banyanturn.core.delivery.AnswerFraming
 import org.banyanturn.core.delivery.AttemptEvidence
 import org.banyanturn.core.delivery.AttemptId
+import org.banyanturn.core.delivery.StreamProgress
+import org.banyanturn.core.delivery.answerEnd
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.logs.Event
@@ -46,6 +50,18 @@
     private var body: CompositeByteBuf? = null
     private val events = EventSplitter()
 
+    /** The number of complete events that the stream has brought. */
+    var eventCount = 0
+        private set
+
+    /** Whether the connection was lost, or the target broke its stream off, after the request was sent. */
+    var isLost = false
+        private set
+
+    /** Whether the response was a stream that its framing states to be complete. */
+    var isProvenComplete = false
+        private set
+
     /** The time until the first part of the response, in milliseconds; 0 until it has arrived. */
     var firstPartMillis = 0L
         private set
@@ -65,9 +81,6 @@
     /** Returns the time since the attempt was sent, in milliseconds. */
     fun elapsedMillis(): Long = environment.clock.nowMillis() - sentAtMillis
 
-    /** Returns the bytes after the last complete event of a stream. */
-    fun takeRest(): ByteBuf = events.takeRest()
-
     /** Cancels the attempt, which also signals to the target that its response is no longer needed. */
     fun cancel() {
         if (isSettled) return
@@ -104,7 +117,10 @@
     override fun onBody(content: ByteBuf) {
         if (isSettled) return
         if (!isStreaming) return collect(content)
-        events.add(content) { event -> if (!isSettled) receiver.onStreamPart(this, event) }
+        events.add(content) { event ->
+            eventCount++
+            if (!isSettled) receiver.onStreamPart(this, event)
+        }
         if (events.partialBytes > MAX_EVENT_BYTES) abortOversized("an event")
     }
 
@@ -114,14 +130,25 @@
         collected.addComponent(true, content.retain())
     }
 
-    override fun onEnd() {
+    override fun onEnd(framing: AnswerFraming) {
         if (isSettled) return
+        if (framing == AnswerFraming.CONNECTION) {
+            receiver.decisionLog.endedByClose(
+                attemptId.value,
+                target.entry.targetId.value,
+                eventCount,
+                events.partialBytes,
+            )
+        }
         val headers = checkNotNull(responseHeaders) { "the response ended before its head" }
         val code = responseHead.status().code()
+        val end = endOf(framing)
+        isProvenComplete = isStreaming && end == AnswerEnd.COMPLETE
         settle()
         when {
             headers.isNotRun -> handleNotRun(code)
             code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
+            end == AnswerEnd.BROKEN_OFF -> failBrokenStream()
             isStreaming -> succeed { receiver.onStreamEnd(this) }
             code in SUCCESS -> succeed { receiver.onResponse(this, takeResponse()) }
             else -> handleErrorStatus(code)
@@ -129,6 +156,17 @@
         environment.waitQueue.dispatch()
     }
 
+    private fun endOf(framing: AnswerFraming): AnswerEnd =
+        framing.answerEnd(if (isStreaming) streamProgress() else null)
+
+    private fun streamProgress() = StreamProgress(eventCount, events.partialBytes)
+
+    private fun failBrokenStream() {
+        isLost = true
+        recordFailure()
+        fail(AttemptEvidence.UNKNOWN, "the stream broke off after $eventCount events")
+    }
+
     private fun succeed(deliver: () -> Unit) {
         state.breaker =
             state.breaker.firstTokenReceived(firstPartMillis.toDouble(), null, environment.clock.nowMillis())
@@ -178,6 +216,7 @@
         if (isSettled) return
         settle()
         recordFailure()
+        isLost = failure.wasSent && failure.kind == AttemptFailureKind.BROKEN
         val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
         if (failure.kind == AttemptFailureKind.CONNECT) recordConnectionRefused()
         if (failure.kind == AttemptFailureKind.CONNECT_TIMEOUT) recordConnectTimeout()
