--- a/router/src/main/kotlin/org/banyanturn/router/generation/GenerationCall.kt
+++ b/router/src/main/kotlin/org/banyanturn/router/generation/GenerationCall.kt
@@ -14,6 +14,7 @@
 import org.banyanturn.core.MemberId
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.isIdentifier
+import org.banyanturn.core.isNestedTooDeeply
 import org.banyanturn.core.state.FleetState
 import org.banyanturn.platform.LoadUnit
 import org.banyanturn.router.http.Refusal
@@ -65,7 +66,7 @@
 
 private fun parseObjectOrNull(text: String): JsonObject? =
     try {
-        Json.parseToJsonElement(text) as? JsonObject
+        if (isNestedTooDeeply(text)) null else Json.parseToJsonElement(text) as? JsonObject
     } catch (_: SerializationException) {
         null
     }
