Take no earlier refusal on a kept connection for the answer that is due

Other operators saw clients told 'not run, try again' for requests that an engine ran (REFUSED), or such requests run at a second engine (TWICE), after a faulty engine had written an earlier refusal once more on a kept connection.

An answer without an id was taken for the due one on any connection, and the repeat of a refusal bears the right id when the same attempt is sent to the target again on that connection. Orders and reports, which have no id, took any answer.

Change: core.delivery.ConnectionAnswers decides by what a connection has brought so far. An answer without an id is due only as the first one; an answer with an id only to the attempt with that id, so never to an order or a report; an attempt that failed on a connection goes on another one. This replaces the matcher that each sender passed. Stale idle connections to an address are closed at the next send there, not only those that were looked at.

Ruled out: giving up each connection after a refusal, which costs a new one for each full engine.

--- /dev/null
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/ConnectionAnswers.kt
@@ -0,0 +1,37 @@
+package org.banyanturn.core.delivery
+
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentSetOf
+
+/**
+ * The answers that a connection to a target has brought so far, from which it follows which attempts it may carry and
+ * to which attempt its next answer belongs. Immutable.
+ *
+ * A faulty target may write an earlier answer once more. Only the attempt id tells such an answer from the one that is
+ * due, so an attempt that was turned away on a connection must not be sent on it again.
+ */
+public data class ConnectionAnswers(
+    private val hasAnswered: Boolean = false,
+    private val failedAttempts: PersistentSet<String> = persistentSetOf(),
+) {
+    /** Returns whether an attempt with [attemptId], or without an id if it is `null`, may be sent on the connection. */
+    public fun mayCarry(attemptId: String?): Boolean =
+        attemptId !in failedAttempts && failedAttempts.size < MAX_FAILED_ATTEMPTS
+
+    /** Returns whether an answer with [answeredId] belongs to the attempt with [attemptId], which waits for one. */
+    public fun isDue(attemptId: String?, answeredId: String?): Boolean =
+        answeredId == attemptId || (answeredId == null && !hasAnswered)
+
+    /** Returns the answers after one to the attempt with [attemptId], which [isSuccess] or not. */
+    public fun answered(attemptId: String?, isSuccess: Boolean): ConnectionAnswers =
+        ConnectionAnswers(
+            hasAnswered = true,
+            failedAttempts =
+                if (isSuccess || attemptId == null) failedAttempts else failedAttempts.adding(attemptId),
+        )
+
+    private companion object {
+        /** Number of failed attempts after which a connection is given up, so that their ids need no more room. */
+        const val MAX_FAILED_ATTEMPTS = 64
+    }
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
@@ -32,7 +32,7 @@
         call: HttpExchangeCall,
     ): Result<HttpExchangeReply, HttpExchangeFailure> {
         val collector = ReplyCollector()
-        val attempt = connectionPool.send(address, toRequest(address, call), { true }, collector)
+        val attempt = connectionPool.send(address, toRequest(address, call), attemptId = null, collector)
         collector.onTooLong = attempt::cancel
         val result = withTimeoutOrNull(call.timeoutMillis) { collector.result.await() }
         if (result != null) return result
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
@@ -1,7 +1,6 @@
 package org.banyanturn.entry.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import org.banyanturn.core.delivery.AnswerFraming
 
@@ -50,9 +49,3 @@
     /** Stops or resumes reading the response. */
     fun setReading(isReading: Boolean)
 }
-
-/** Checks that a response belongs to the attempt that waits for it. */
-internal fun interface ResponseMatcher {
-    /** Returns whether a response with [headers] belongs to the attempt. */
-    fun matches(headers: HttpHeaders): Boolean
-}
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -14,9 +14,12 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.banyanturn.core.delivery.AnswerFraming
+import org.banyanturn.core.delivery.ConnectionAnswers
+import org.banyanturn.platform.hosted.readTargetAnswerHeaders
 
 private const val STATUS_CONTINUE = 100
 private const val FIRST_FINAL_STATUS = 200
+private val SUCCESS = 200..299
 
 /**
  * Handles a connection to a target, which carries one attempt at a time.
@@ -31,7 +34,8 @@
     private val onClosed: (TargetConnection) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var listener: AttemptListener? = null
-    private var matcher: ResponseMatcher? = null
+    private var attemptId: String? = null
+    private var answers = ConnectionAnswers()
     private var responseState = ResponseState.NONE
     private var framing = AnswerFraming.LENGTH
     private var mayReuse = true
@@ -48,11 +52,18 @@
     val isUsable: Boolean
         get() = channel.isActive && listener == null && mayReuse
 
-    /** Sends [request]; [newListener] receives the response or the failure. */
-    fun send(request: FullHttpRequest, newMatcher: ResponseMatcher, newListener: AttemptListener): TargetAttempt {
+    /** Returns whether an attempt with [id], or without an id if it is `null`, may be sent on this connection. */
+    fun mayCarry(id: String?): Boolean = answers.mayCarry(id)
+
+    /**
+     * Sends [request]; [newListener] receives the response or the failure.
+     *
+     * @param newAttemptId the attempt id that the response must carry, or `null` if the request has none.
+     */
+    fun send(request: FullHttpRequest, newAttemptId: String?, newListener: AttemptListener): TargetAttempt {
         check(listener == null) { "the connection already carries an attempt" }
         listener = newListener
-        matcher = newMatcher
+        attemptId = newAttemptId
         responseState = ResponseState.NONE
         isRequestWritten = false
         channel.writeAndFlush(request).addListener { written ->
@@ -116,12 +127,14 @@
         }
         framing = framingOf(response)
         if (!HttpUtil.isKeepAlive(response) || !hasExplicitFraming(response)) mayReuse = false
-        if (matcher?.matches(response.headers()) != true) {
+        val answeredId = readTargetAnswerHeaders(code, response.headers()).attemptId
+        if (!answers.isDue(attemptId, answeredId)) {
             responseState = ResponseState.UNMATCHED
             mayReuse = false
             return
         }
         responseState = ResponseState.MATCHED
+        answers = answers.answered(attemptId, isSuccess = code in SUCCESS)
         listener?.onHead(response)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
@@ -66,27 +66,34 @@
     /** Returns the number of connections to [address] that are being opened, in use or idle. */
     fun openConnections(address: SocketAddressText): Int = openByAddress[address] ?: 0
 
-    /** Sends [request], which is released, to [address]; [listener] receives the response or the failure. */
+    /**
+     * Sends [request], which is released, to [address]; [listener] receives the response or the failure.
+     *
+     * @param attemptId the attempt id that the response must carry, or `null` if the request has none.
+     */
     fun send(
         address: SocketAddressText,
         request: FullHttpRequest,
-        matcher: ResponseMatcher,
+        attemptId: String?,
         listener: AttemptListener,
         maxIdleMillis: Long = settings.maxIdleMillis,
     ): TargetAttempt {
-        val pooled = takeIdleOrNull(address, maxIdleMillis)
-        if (pooled != null) return pooled.send(request, matcher, listener)
-        return PendingAttempt(address, request, matcher, listener).also { it.connect() }
+        val pooled = takeIdleOrNull(address, attemptId, maxIdleMillis)
+        if (pooled != null) return pooled.send(request, attemptId, listener)
+        return PendingAttempt(address, request, attemptId, listener).also { it.connect() }
     }
 
-    private fun takeIdleOrNull(address: SocketAddressText, maxIdleMillis: Long): TargetConnection? {
+    private fun takeIdleOrNull(
+        address: SocketAddressText,
+        attemptId: String?,
+        maxIdleMillis: Long,
+    ): TargetConnection? {
         val connections = idle[address] ?: return null
-        while (connections.isNotEmpty()) {
-            val connection = connections.removeLast()
-            if (connection.isUsable && isFresh(connection, maxIdleMillis)) return connection
-            connection.close()
+        connections.filterNot { it.isUsable && isFresh(it, maxIdleMillis) }.forEach { stale ->
+            connections -= stale
+            stale.close()
         }
-        return null
+        return connections.lastOrNull { it.mayCarry(attemptId) }?.also { connections -= it }
     }
 
     private fun isFresh(connection: TargetConnection, maxIdleMillis: Long): Boolean {
@@ -124,7 +131,7 @@
     private inner class PendingAttempt(
         private val address: SocketAddressText,
         private val request: FullHttpRequest,
-        private val matcher: ResponseMatcher,
+        private val attemptId: String?,
         private val listener: AttemptListener,
     ) : TargetAttempt {
         private var connecting: ChannelFuture? = null
@@ -169,7 +176,7 @@
                 request.release()
                 return release(address, connection)
             }
-            sentAttempt = connection.send(request, matcher, listener)
+            sentAttempt = connection.send(request, attemptId, listener)
         }
 
         override fun cancel() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import org.banyanturn.core.delivery.AnswerEnd
 import org.banyanturn.core.delivery.AnswerFraming
@@ -18,7 +17,6 @@
 import org.banyanturn.entry.http.AttemptFailure
 import org.banyanturn.entry.http.AttemptFailureKind
 import org.banyanturn.entry.http.AttemptListener
-import org.banyanturn.entry.http.ResponseMatcher
 import org.banyanturn.entry.http.TargetAttempt
 import org.banyanturn.entry.turns.PromptTurn
 import org.banyanturn.platform.hosted.TargetAnswerHeaders
@@ -41,7 +39,7 @@
     private val sentAtMillis: Long,
     private val callerAttemptId: String?,
     private val turn: PromptTurn?,
-) : AttemptListener, ResponseMatcher {
+) : AttemptListener {
     private val state = environment.view.stateOf(target)
     private var targetAttempt: TargetAttempt? = null
     private var isSettled = false
@@ -94,11 +92,6 @@
         targetAttempt?.setReading(isReading)
     }
 
-    override fun matches(headers: HttpHeaders): Boolean {
-        val answered = readTargetAnswerHeaders(STATUS_OK, headers).attemptId
-        return answered == null || callerAttemptId == null || answered == callerAttemptId
-    }
-
     override fun onHead(response: HttpResponse) {
         val headers = readTargetAnswerHeaders(response.status().code(), response.headers())
         head = response
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -208,7 +208,7 @@
         currentAttempt = attempt
         val maxIdleMillis =
             if (route.isRetryable) RequestTimings.RETRYABLE_IDLE_MILLIS else RequestTimings.ONCE_IDLE_MILLIS
-        attempt.begin(environment.connectionPool.send(target.socketAddress, request, attempt, attempt, maxIdleMillis))
+        attempt.begin(environment.connectionPool.send(target.socketAddress, request, callerId, attempt, maxIdleMillis))
     }
 
     private fun requestTo(target: KnownTarget): FullHttpRequest {
--- a/entry/src/test/kotlin/org/banyanturn/entry/ScriptedTarget.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/ScriptedTarget.kt
@@ -14,8 +14,16 @@
 /** The raw bytes that a [ScriptedTarget] writes for one request, and what it does with the connection afterwards. */
 internal class ScriptedAnswer(val text: String, val end: ConnectionEnd = ConnectionEnd.KEEP)
 
-/** A request as a [ScriptedTarget] received it. */
-internal class ReceivedRequest(val path: String, val headers: Map<String, String>) {
+/**
+ * A request as a [ScriptedTarget] received it.
+ *
+ * @property isOnKeptConnection whether its connection has carried an answer before.
+ */
+internal class ReceivedRequest(
+    val path: String,
+    val headers: Map<String, String>,
+    val isOnKeptConnection: Boolean,
+) {
     /** The caller's id of the attempt. */
     val attemptId: String
         get() = headers["attempt-id"].orEmpty()
@@ -60,8 +68,9 @@
 
     private fun serve(connection: Socket) {
         connection.tcpNoDelay = true
+        var answers = 0
         while (true) {
-            val request = readRequestOrNull(connection.getInputStream()) ?: return
+            val request = readRequestOrNull(connection.getInputStream(), answers++ > 0) ?: return
             val answer = if (isControl(request)) notFound() else answerTo(request)
             connection.getOutputStream().write(answer.text.encodeToByteArray())
             connection.getOutputStream().flush()
@@ -88,12 +97,12 @@
 
     private fun notFound() = ScriptedAnswer("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 
-    private fun readRequestOrNull(input: InputStream): ReceivedRequest? {
+    private fun readRequestOrNull(input: InputStream, isOnKeptConnection: Boolean): ReceivedRequest? {
         val start = readLineOrNull(input) ?: return null
         val headers = generateSequence { readLineOrNull(input)?.takeIf { it.isNotEmpty() } }
             .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
         input.readNBytes(headers["content-length"]?.toInt() ?: 0)
-        return ReceivedRequest(start.split(' ')[1], headers)
+        return ReceivedRequest(start.split(' ')[1], headers, isOnKeptConnection)
     }
 
     private fun readLineOrNull(input: InputStream): String? {
