End a stream whose next attempt brings an error, instead of sending it or falling silent

Other operators saw a stream that had begun and broke off, and the next engine answer with an error: clients found its text or whole head in their stream, or the stream ended as if complete.

Here: BrokenAnswerTest, a resumed stream whose second target answers with 400, failed: 'Read timed out'. The answer was written into the begun response; the encoder refuses a second head there, so the caller saw nothing more, the exchange counted as ended and its connection stayed open until the caller gave up, with an encoder in a state that no later answer on it survives. No text or head got out. Statuses of 500 and above were told as failures already; 4xx, 204 and 206 were not.

Change: core.delivery takes a whole answer after delivered parts for the failure of an attempt that ran, and ends the stream; the exchange aborts rather than send a second head.

Ruled out: sending such a request to a third target; a client error repeats there.

Result: BrokenAnswerTest (400, 404, 500, 503, 206, 204 after two events), RequestStateMachineTest and DeliveryDifferentialTest pass.

--- a/core/src/main/kotlin/org/banyanturn/core/delivery/RequestStateMachine.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/RequestStateMachine.kt
@@ -152,6 +152,7 @@
     private fun onAnswer(state: RequestState, event: RequestEvent.AttemptAnswered): RequestStep {
         val phase = state.phase as? RequestPhase.InFlight
         if (phase?.attemptId != event.attemptId) return unchanged(state)
+        if (state.answer.deliveredTokens > 0) return refuseAfterStream(state, phase)
         val answer = RequestDecision.Answer(event.answer, isReplay = false)
         val record = recordDecisions(state, OutcomeResult.Answered(event.answer.withoutLargeBody()))
         val ended = state.copy(
@@ -162,6 +163,10 @@
         return RequestStep(ended, record + answer)
     }
 
+    /** Ends a stream whose next attempt brought a whole answer, such as an error, which can't follow the stream's parts. */
+    private fun refuseAfterStream(state: RequestState, phase: RequestPhase.InFlight): RequestStep =
+        refuse(state.afterFailure(phase, AttemptEvidence.RAN), RefusalReason.ATTEMPTS_FAILED)
+
     private fun onFailure(state: RequestState, event: RequestEvent.AttemptFailed, nowMillis: Long): RequestStep {
         val phase = state.phase as? RequestPhase.InFlight
         if (phase?.attemptId != event.attemptId) return unchanged(state)
--- a/core/src/test/kotlin/org/banyanturn/core/delivery/RequestStateMachineTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/delivery/RequestStateMachineTest.kt
@@ -125,6 +125,15 @@
         assertFalse(decisions.any { it is RequestDecision.FinishStream })
     }
 
+    @Test
+    fun `a whole answer after delivered parts ends the stream instead of being sent`() {
+        val run = inFlight(idempotentRequest)
+        run.on(RequestEvent.ChunkReceived(AnswerChunk.Token(attempt, 0, "calm")))
+        val refused = run.on(RequestEvent.AttemptAnswered(attempt, answer)).single() as RequestDecision.Refuse
+        assertTrue(refused.endsStream)
+        assertEquals(RequestOutcome.RAN, refused.refusal.outcome)
+    }
+
     @Test
     fun `a disconnected caller cancels an idempotent request, but not a non-idempotent one`() {
         val cancel = listOf(RequestDecision.CancelAttempt(attempt, firstTarget))
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
@@ -63,11 +63,11 @@
     val isWritable: Boolean
         get() = channel.isWritable
 
-    /** Sends a complete response and ends the exchange; [content] is released. */
+    /** Sends a complete response and ends the exchange, or aborts a started response; [content] is released. */
     fun answer(status: Int, headers: HttpHeaders, content: ByteBuf) {
-        if (hasEnded) {
+        if (hasEnded || hasStarted) {
             content.release()
-            return
+            return abort()
         }
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
--- a/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
@@ -4,8 +4,10 @@
 import org.banyanturn.core.delivery.AnswerFraming
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.net.Socket
 import java.net.SocketException
@@ -134,6 +136,53 @@
         assertEquals(WHOLE_STREAM + "id: 3\ndata: c\n\n", successfulBodyOrNull("/notes/1"))
     }
 
+    @Test
+    fun `a stream that has begun never ends with the error or the whole answer of the next target`() {
+        var second = ""
+        startWith { request ->
+            val isResumed = request.headers["last-event-id"] == "2"
+            if (isResumed) ScriptedAnswer(second) else ScriptedAnswer(brokenStream(request), ConnectionEnd.CLOSE)
+        }
+        listOf("400 Bad Request", "404 Not Found", "500 Server Error", "503 Busy", "206 Partial", "204 No Content").forEach {
+            val body = if (it.startsWith("204")) "" else "gone"
+            second = "HTTP/1.1 $it\r\nServer-Seal: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
+            val raw = rawAnswer("/notes/1")
+            assertTrue(raw.startsWith("HTTP/1.1 200 OK"), "$it: $raw")
+            assertTrue("data: b" in raw, "$it: the first target's events arrive: $raw")
+            assertFalse("gone" in raw || "HTTP/1.1" in raw.substring(1), "$it: $raw")
+            assertFalse(raw.endsWith("0\r\n\r\n"), "$it: the stream must not look complete: $raw")
+        }
+    }
+
+    private fun brokenStream(request: ReceivedRequest): String =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: ${request.attemptId}\r\nServer-Seal: s\r\n" +
+            framed(AnswerFraming.CHUNKS, WHOLE_STREAM, isWhole = false)
+
+    /** Returns all bytes that a caller of [path] receives. */
+    private fun rawAnswer(path: String): String =
+        Socket("127.0.0.1", fixture.callerPort).use { socket ->
+            socket.soTimeout = READ_TIMEOUT_MILLIS
+            val head = "POST $path HTTP/1.1\r\nHost: 127.0.0.1\r\nAuthorization: Bearer k1\r\n" +
+                "Attempt-Id: raw-${nextId.incrementAndGet()}\r\nModel: m0\r\nContent-Length: 2\r\n\r\n{}"
+            socket.getOutputStream().write(head.encodeToByteArray())
+            readUntilEnd(socket)
+        }
+
+    /** Returns what arrives at [socket] until it is closed or reset; a silent connection is an error. */
+    private fun readUntilEnd(socket: Socket): String {
+        val bytes = ByteArrayOutputStream()
+        try {
+            while (true) {
+                val byte = socket.getInputStream().read()
+                if (byte < 0) break
+                bytes.write(byte)
+            }
+        } catch (_: SocketException) {
+            // A reset ends a broken answer too.
+        }
+        return bytes.toString(Charsets.UTF_8)
+    }
+
     @Test
     fun `a caller without chunks learns by a reset that its stream was broken off`() {
         startWith { answer(it, AnswerFraming.CHUNKS, WHOLE_STREAM, ConnectionEnd.RESET, isWhole = false) }
@@ -149,5 +198,6 @@
     private companion object {
         const val WHOLE_STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
         const val MISSING_BYTES = 40
+        const val READ_TIMEOUT_MILLIS = 3_000
     }
 }
