Hold both kinds of crash evidence in one place, and format the new code

RequestEnvironment had one parameter more than the linter allows. CrashEvidence holds the evidence by whole requests and by prompt parts and is asked by the handler and before each send. No behaviour changes; the other edits are the formatter's and one shorter comment line.

--- a/core/src/main/kotlin/org/banyanturn/core/delivery/ConnectionAnswers.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/ConnectionAnswers.kt
@@ -27,7 +27,7 @@
         ConnectionAnswers(
             hasAnswered = true,
             failedAttempts =
-                if (isSuccess || attemptId == null) failedAttempts else failedAttempts.adding(attemptId),
+            if (isSuccess || attemptId == null) failedAttempts else failedAttempts.adding(attemptId),
         )
 
     private companion object {
--- a/core/src/main/kotlin/org/banyanturn/core/delivery/RequestStateMachine.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/RequestStateMachine.kt
@@ -163,7 +163,7 @@
         return RequestStep(ended, record + answer)
     }
 
-    /** Ends a stream whose next attempt brought a whole answer, such as an error, which can't follow the stream's parts. */
+    /** Ends a stream whose next attempt brought a whole answer, such as an error, which can not follow its parts. */
     private fun refuseAfterStream(state: RequestState, phase: RequestPhase.InFlight): RequestStep =
         refuse(state.afterFailure(phase, AttemptEvidence.RAN), RefusalReason.ATTEMPTS_FAILED)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -44,6 +44,7 @@
 import org.banyanturn.entry.peers.PeerLiveness
 import org.banyanturn.entry.peers.PeerMessenger
 import org.banyanturn.entry.peers.PeerSocket
+import org.banyanturn.entry.requests.CrashEvidence
 import org.banyanturn.entry.requests.CrashTracker
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
@@ -136,11 +137,13 @@
     private val requestNumbers = generateSequence(1L) { it + 1 }.iterator()
     private val copyRequests = CopyRequestTracker(view, clock, log, requestNumbers)
     private val suspensionMonitor = SuspensionMonitor(clock::nowMillis, System::currentTimeMillis)
-    private val crashes = CrashTracker(self.incarnation, System::currentTimeMillis)
-    private val promptParts = PromptPartTracker(log, clock::nowMillis)
+    private val crashes = CrashEvidence(
+        CrashTracker(self.incarnation, System::currentTimeMillis),
+        PromptPartTracker(log, clock::nowMillis),
+    )
     private val environment = RequestEnvironment(
-        clock, loop, view, connectionPool, placement, waitQueue, copyRequests, limits, retries, crashes, promptParts,
-        log, metrics, random,
+        clock, loop, view, connectionPool, placement, waitQueue, copyRequests, limits, retries, crashes, log, metrics,
+        random,
     )
     private val engines = OwnedEngineController(
         vmName = boot.vmId.value,
@@ -157,7 +160,7 @@
     private val handler = RequestHandler(environment)
     private val peerMessenger = PeerMessenger(
         self, ownership, liveness, allotments, copyRequests, planner, engines, view, platformLists.relay, crashes,
-        promptParts, environment.turns,
+        environment.turns,
     )
     private val pendingRequests = object : PendingRequests {
         override fun requirementsOrNull(copy: CopyName): TargetRequirements? = waitQueue.requirementsOrNull(copy)
@@ -239,8 +242,8 @@
     }
 
     private fun connectComponents() {
-        crashes.onRecord = peerMessenger::sendCrashRecord
-        promptParts.onRecord = peerMessenger::sendPromptPartRecord
+        crashes.requests.onRecord = peerMessenger::sendCrashRecord
+        crashes.promptParts.onRecord = peerMessenger::sendPromptPartRecord
         environment.onTargetDead = peerMessenger::sendDeadTarget
         environment.turns.transport = peerMessenger
         copyRequests.transport = peerMessenger
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -22,9 +22,8 @@
 import org.banyanturn.entry.follow.Ownership
 import org.banyanturn.entry.follow.Peer
 import org.banyanturn.entry.requests.ArrivedRequests
-import org.banyanturn.entry.requests.CrashTracker
+import org.banyanturn.entry.requests.CrashEvidence
 import org.banyanturn.entry.requests.FleetView
-import org.banyanturn.entry.requests.PromptPartTracker
 import org.banyanturn.entry.turns.PromptTurnCoordinator
 import org.banyanturn.entry.turns.TurnMessage
 import org.banyanturn.entry.turns.TurnOwner
@@ -47,8 +46,7 @@
     private val engines: OwnedEngineController,
     private val view: FleetView,
     private val relay: CatalogRelay,
-    private val crashes: CrashTracker,
-    private val promptParts: PromptPartTracker,
+    private val crashes: CrashEvidence,
     private val turns: PromptTurnCoordinator,
 ) : CopyRequestTransport, ModelLoadTransport, TurnTransport {
     private val readyWaiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
@@ -90,7 +88,7 @@
 
     /** Repeats the verdicts on parts of prompts to a few VMs, so that each VM soon has them; called once a second. */
     fun repeatPromptPartVerdicts() {
-        val verdicts = promptParts.drainVerdicts()
+        val verdicts = crashes.promptParts.drainVerdicts()
         if (verdicts.isEmpty()) return
         otherVms().shuffled().take(VERDICT_FAN_OUT).forEach { send(it.host, promptPartRecords = verdicts) }
     }
@@ -215,8 +213,8 @@
         }
         datagram.uses.forEach { use -> use.copyOrNull()?.let { engines.recordUse(TargetId(use.targetId), it) } }
         datagram.leaving.forEach(::onCopyLeaving)
-        datagram.crashRecords.forEach(crashes::onPeerRecord)
-        datagram.promptPartRecords.forEach(promptParts::onPeerRecord)
+        datagram.crashRecords.forEach(crashes.requests::onPeerRecord)
+        datagram.promptPartRecords.forEach(crashes.promptParts::onPeerRecord)
         datagram.deadTargets.filter(::isIdentifier).mapNotNull {
             view.directory.targets[TargetId(it)]
         }.forEach(view::recordConnectionRefused)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -2,14 +2,12 @@
 
 import io.netty.channel.EventLoop
 import org.banyanturn.core.MemberId
-import org.banyanturn.core.delivery.PromptPartId
 import org.banyanturn.core.delivery.RequestStateMachine
 import org.banyanturn.core.delivery.RetryPolicy
 import org.banyanturn.core.routing.PrefillSpeedEstimator
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
-import org.banyanturn.entry.http.CallerExchange
 import org.banyanturn.entry.http.TargetConnectionPool
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
@@ -27,8 +25,7 @@
     val copyRequester: CopyRequester,
     val limits: MemberLimits,
     val retries: ServiceRetryBudgets,
-    val crashes: CrashTracker,
-    val promptParts: PromptPartTracker,
+    val crashes: CrashEvidence,
     val log: DecisionLog,
     val metrics: EntryMetrics,
     val random: Random,
@@ -55,10 +52,6 @@
             RequestStateMachine(policy, { _, nowMillis -> retries.tryTake(service, nowMillis) }, random)
         }
 
-    /** Returns how long the request of [exchange] with shared [parts] remains blocked, in milliseconds, or `null`. */
-    fun blockedForMillisOrNull(exchange: CallerExchange, parts: List<PromptPartId>): Long? =
-        crashes.blockedForMillisOrNull(exchange) ?: promptParts.blockedForMillisOrNull(parts)
-
     /** Returns the latency averages of the route [name]. */
     fun latenciesOf(name: String): RouteLatencies = latenciesByRoute.getOrPut(name) { RouteLatencies() }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -182,7 +182,7 @@
     override fun reselectTarget(): Unit = selectTarget(avoidedTargetIds)
 
     override fun sendTo(target: KnownTarget) {
-        val blockedMillis = environment.blockedForMillisOrNull(exchange, promptParts)
+        val blockedMillis = environment.crashes.blockedForMillisOrNull(exchange, promptParts)
         if (blockedMillis != null) return handle(RequestEvent.FingerprintBlocked(blockedMillis))
         lastTarget = target
         handle(RequestEvent.TargetChosen(target.entry.targetId))
@@ -240,8 +240,8 @@
         relay.start(attempt.responseHead)
         currentAttempt = null
         latencies.record(attempt.firstPartMillis, attempt.elapsedMillis())
-        environment.crashes.onResponseCompleted(exchange)
-        if (attempt.isProvenComplete) environment.promptParts.onAnswerComplete(promptParts)
+        environment.crashes.requests.onResponseCompleted(exchange)
+        if (attempt.isProvenComplete) environment.crashes.promptParts.onAnswerComplete(promptParts)
         val deliveredEvents = state.answer.deliveredTokens
         handle(RequestEvent.ChunkReceived(AnswerChunk.Finished(attempt.attemptId, deliveredEvents, finishReason = "")))
     }
@@ -251,7 +251,7 @@
         currentAttempt = null
         retainResponse(received)
         latencies.record(attempt.firstPartMillis, attempt.elapsedMillis())
-        environment.crashes.onResponseCompleted(exchange)
+        environment.crashes.requests.onResponseCompleted(exchange)
         handle(RequestEvent.AttemptAnswered(attempt.attemptId, received.toOutcome()))
     }
 
@@ -263,12 +263,12 @@
         currentAttempt = null
         errorResponse?.let(::retainResponse)
         if (evidence == AttemptEvidence.UNKNOWN) {
-            environment.crashes
+            environment.crashes.requests
                 .onConnectionLost(exchange, attempt.target.entry.targetId, hasAnswered = relay.hasStarted)
         }
         if (attempt.isLost && attempt.eventCount <= MAX_EVENTS_BEFORE_CRASH) {
             val entry = attempt.target.entry
-            environment.promptParts.onTargetLost(TargetLife(entry.targetId, entry.bornEpochMillis), promptParts)
+            environment.crashes.promptParts.onTargetLost(TargetLife(entry.targetId, entry.bornEpochMillis), promptParts)
         }
         handle(RequestEvent.AttemptFailed(attempt.attemptId, evidence))
     }
--- a/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
@@ -143,7 +143,14 @@
             val isResumed = request.headers["last-event-id"] == "2"
             if (isResumed) ScriptedAnswer(second) else ScriptedAnswer(brokenStream(request), ConnectionEnd.CLOSE)
         }
-        listOf("400 Bad Request", "404 Not Found", "500 Server Error", "503 Busy", "206 Partial", "204 No Content").forEach {
+        listOf(
+            "400 Bad Request",
+            "404 Not Found",
+            "500 Server Error",
+            "503 Busy",
+            "206 Partial",
+            "204 No Content",
+        ).forEach {
             val body = if (it.startsWith("204")) "" else "gone"
             second = "HTTP/1.1 $it\r\nServer-Seal: s\r\nContent-Length: ${body.length}\r\n\r\n$body"
             val raw = rawAnswer("/notes/1")
