--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -162,19 +162,17 @@
         val cause = failureCause
         if (cause != null) return fail(AttemptFailureKind.BROKEN, "the connection broke: $cause")
         val endedListener = listener ?: return
-        val endedFraming = if (channel.isActive &&
-            framing == AnswerFraming.CONNECTION
-        ) {
-            AnswerFraming.LENGTH
-        } else {
-            framing
-        }
+        val endedFraming = endedFraming()
         listener = null
         channel.config().isAutoRead = true
         if (mayReuse && isRequestWritten && channel.isActive) onIdle(this) else close()
         endedListener.onEnd(endedFraming)
     }
 
+    /** Returns what ended the response; one that can't have a body ends while its connection is open. */
+    private fun endedFraming(): AnswerFraming =
+        if (framing == AnswerFraming.CONNECTION && channel.isActive) AnswerFraming.LENGTH else framing
+
     private fun fail(kind: AttemptFailureKind, reason: String) {
         val failedListener = listener
         listener = null
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -88,7 +88,7 @@
 
     /** Repeats the verdicts on parts of prompts to a few VMs, so that each VM soon has them; called once a second. */
     fun repeatPromptPartVerdicts() {
-        val verdicts = crashes.promptParts.drainVerdicts()
+        val verdicts = crashes.promptParts.verdicts()
         if (verdicts.isEmpty()) return
         otherVms().shuffled().take(VERDICT_FAN_OUT).forEach { send(it.host, promptPartRecords = verdicts) }
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/PromptPartTracker.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/PromptPartTracker.kt
@@ -12,21 +12,17 @@
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.observe.DecisionLog
 
-/** Number of crashes of a part from which a VM objects if it knows of a complete answer. */
-private const val CRASHES_TO_OBJECT = 2
-
 /** Most blocked parts that are repeated to other VMs in one datagram. */
 private const val MAX_REPEATED_PARTS = 16
 
 /**
  * Detects parts of prompts that crash the targets that answer on them, using evidence shared by all VMs.
  *
- * Each crash, verdict and objection is sent to all VMs at once. Verdicts are repeated to some VMs each second, which
- * reaches those that lost a datagram or have started since.
+ * Each crash, the verdict of the VM that saw it, and each complete answer that clears a suspicion are sent to all VMs
+ * at once. Verdicts are repeated to some VMs each second, for those that lost a datagram or have started since.
  */
 internal class PromptPartTracker(private val log: DecisionLog, private val nowMillis: () -> Long) {
     private var ledger = PromptPartLedger()
-    private val objections = LinkedHashSet<PromptPartId>()
 
     /** Called with each record to send to all other VMs. */
     var onRecord: (payload: String) -> Unit = {}
@@ -37,10 +33,12 @@
 
     /** Records that [life] was lost while it ran a request with [parts] that it had hardly begun to answer. */
     fun onTargetLost(life: TargetLife, parts: List<PromptPartId>) {
-        val unproven = parts.filterNot { it in ledger.completedParts }.ifEmpty { parts }
-        if (unproven.isEmpty()) return
-        apply(ledger.crashed(life, unproven, nowMillis()))
-        send(PromptPartRecord.Suspected(life.targetId.value, life.bornEpochMillis, unproven.map { it.value }))
+        val blamed = parts.filterNot { it in ledger.completedParts }.ifEmpty { parts }
+        val updated = ledger.crashed(life, blamed, nowMillis())
+        if (updated === ledger) return
+        val newlyBlocked = apply(updated)
+        send(PromptPartRecord.Suspected(life.targetId.value, life.bornEpochMillis, blamed.map { it.value }))
+        if (newlyBlocked.isNotEmpty()) send(PromptPartRecord.Blocked(newlyBlocked.map { it.value }))
     }
 
     /** Records that the answer to a request with [parts] was complete. */
@@ -54,50 +52,43 @@
     fun onPeerRecord(payload: String) {
         val record = decodePromptPartRecordOrNull(payload) ?: return
         val parts = record.partIds.map(::PromptPartId)
-        when (record) {
-            is PromptPartRecord.Completed -> apply(ledger.completed(parts, nowMillis()))
+        val updated = when (record) {
+            is PromptPartRecord.Completed -> ledger.completed(parts, nowMillis())
 
-            is PromptPartRecord.Blocked -> {
-                objections += parts.filter { it in ledger.completedParts }
-                apply(parts.fold(ledger) { known, part -> known.blocked(part, nowMillis()) })
-            }
+            is PromptPartRecord.Blocked -> parts.fold(ledger) { known, part -> known.blocked(part, nowMillis()) }
 
             is PromptPartRecord.Suspected -> {
                 if (!isIdentifier(record.targetId)) return
-                apply(ledger.crashed(TargetLife(TargetId(record.targetId), record.bornEpochMillis), parts, nowMillis()))
-                objections += parts.filter {
-                    it in ledger.completedParts && (ledger.suspicions[it]?.crashes ?: 0) >= CRASHES_TO_OBJECT
-                }
+                ledger.crashed(TargetLife(TargetId(record.targetId), record.bornEpochMillis), parts, nowMillis())
             }
         }
+        apply(updated)
     }
 
-    /** Sends the objections that came up and returns the verdicts to repeat to some VMs; called once a second. */
-    fun drainVerdicts(): List<String> {
-        if (objections.isNotEmpty()) send(PromptPartRecord.Completed(objections.map { it.value }))
-        objections.clear()
+    /** Returns the verdicts to repeat to some VMs; called once a second. */
+    fun verdicts(): List<String> {
         val blocked = ledger.blockedParts.takeLast(MAX_REPEATED_PARTS).map { it.value }
         return if (blocked.isEmpty()) emptyList() else listOf(PromptPartRecord.Blocked(blocked).encodeToPayload())
     }
 
-    private fun apply(updated: PromptPartLedger) {
+    /** Replaces the ledger by [updated] and returns the parts that are blocked from now on. */
+    private fun apply(updated: PromptPartLedger): Set<PromptPartId> {
         val previous = ledger
         ledger = updated
-        if (updated.suspicions === previous.suspicions) return
+        if (updated.suspicions === previous.suspicions) return emptySet()
         val before = previous.blockedParts.toSet()
         val now = updated.blockedParts.toSet()
         (before - now).forEach { log.write(Event.PROMPT_PART_RELEASED, field("part", it.value)) }
-        onBlocked(now - before)
+        (now - before).forEach { logBlocked(it) }
+        return now - before
     }
 
-    private fun onBlocked(parts: Set<PromptPartId>) {
-        if (parts.isEmpty()) return
-        parts.forEach {
-            val crashes = ledger.suspicions[it]?.crashes
-            log.write(Event.PROMPT_PART_BLOCKED, field("part", it.value), field("crashes", crashes))
-        }
-        send(PromptPartRecord.Blocked(parts.map { it.value }))
-    }
+    private fun logBlocked(part: PromptPartId): Unit =
+        log.write(
+            Event.PROMPT_PART_BLOCKED,
+            field("part", part.value),
+            field("crashes", ledger.suspicions[part]?.crashes),
+        )
 
     private fun send(record: PromptPartRecord): Unit = onRecord(record.encodeToPayload())
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/PromptPartTrackerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/PromptPartTrackerTest.kt
@@ -39,7 +39,7 @@
     private fun repeatVerdicts() {
         nowMillis += SECOND_MILLIS
         vms.forEach { sender ->
-            sender.drainVerdicts().forEach { payload ->
+            sender.verdicts().forEach { payload ->
                 vms.filter { it !== sender }.forEach { it.onPeerRecord(payload) }
             }
         }
@@ -66,22 +66,34 @@
     }
 
     @Test
-    fun `a VM that knows of a complete answer lifts the verdict of those that do not`() {
+    fun `a VM that knows of a complete answer goes on, and its next one lifts the verdict of the others`() {
         val informed = startVm()
         informed.onAnswerComplete(sound)
         val late = startVm()
         (1..3).forEach { crash(late, it, sound) }
+        repeatVerdicts()
         assertNotNull(late.blockedForMillisOrNull(sound))
         assertNull(informed.blockedForMillisOrNull(sound))
-        repeatVerdicts()
+        informed.onAnswerComplete(sound)
         vms.forEach { assertNull(it.blockedForMillisOrNull(sound)) }
     }
 
+    @Test
+    fun `a part that was sound and turns bad is blocked on all VMs and stays so`() {
+        repeat(3) { startVm() }
+        vms.forEach { it.onAnswerComplete(sound) }
+        (1..5).forEach { crash(vms[it % vms.size], it, sound) }
+        repeat(2) {
+            vms.forEach { assertNotNull(it.blockedForMillisOrNull(sound)) }
+            repeatVerdicts()
+        }
+    }
+
     @Test
     fun `malformed and unknown records are ignored`() {
         val vm = startVm()
         listOf("", "{", "[]", """{"type":"other"}""", """{"type":"part_blocked"}""").forEach(vm::onPeerRecord)
-        assertEquals(emptyList<String>(), vm.drainVerdicts())
+        assertEquals(emptyList<String>(), vm.verdicts())
     }
 
     private companion object {
