Count requests for each copy, and log the planner's work and late event loops

The logs could not tell the hypotheses apart: lines about routine requests are samples, so nobody could count which copies were asked for and served, and nothing told how busy the planner's VM is.

Change: BT3013 counts arrivals, serves and refusals of each copy every second, complete; BT3012 tells what planning and answering took on the planner's event loop; BT1126 says that a periodic task ran a quarter of a second late or more. No decision depends on them.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -102,6 +102,9 @@
     /** Requests with a part of a prompt are served again. */
     PROMPT_PART_RELEASED(1125, Level.INFO, "requests with a part of a prompt are served again"),
 
+    /** The event loop ran a periodic task much later than scheduled. */
+    EVENT_LOOP_DELAYED(1126, Level.WARN, "the event loop was busy for too long"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
@@ -164,6 +167,12 @@
 
     /** An engine was selected for a requested model. */
     LOAD_PLANNED(3011, Level.INFO, "an engine was selected for a model"),
+
+    /** What the planner of a service did in the last second, and the time that it took. */
+    PLANNING_SUMMARY(3012, Level.INFO, "loads were planned"),
+
+    /** How many requests arrived, were served and were refused for each copy. */
+    COPY_OUTCOMES(3013, Level.INFO, "requests for copies have arrived or ended"),
 }
 
 /** Represents a named value of a logged event. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -69,6 +69,9 @@
 
 private const val HOUSEKEEPING_INTERVAL_MILLIS = 1_000L
 
+/** Delay of a periodic task from which the event loop is reported as delayed. */
+private const val MIN_LOGGED_DELAY_MILLIS = 250L
+
 /** Interval between reports to the engines' owners and the planners about used copies and demand. */
 private const val USAGE_INTERVAL_MILLIS = 250L
 
@@ -178,7 +181,7 @@
         clock,
         this,
     )
-    private val ticker = Ticker(loop, supervised("tick", ::tick), ::isBusy)
+    private val ticker = Ticker(loop, clock, supervised("tick", ::tick), ::isBusy)
     private val connections = LinkedHashSet<CallerConnection>()
     private val exitLatch = CountDownLatch(1)
     private lateinit var callerSocket: Channel
@@ -293,6 +296,14 @@
         allotments.dropUnownedCollectors()
         engines.onDirectory()
         planner.startDueLoads(peerMessenger::isPlanner)
+        writeSummaries()
+    }
+
+    private fun writeSummaries() {
+        planner.writeSummary()
+        environment.copyOutcomes.write()
+        val delayMillis = ticker.takeLongestDelayMillis()
+        if (delayMillis >= MIN_LOGGED_DELAY_MILLIS) log.write(Event.EVENT_LOOP_DELAYED, field("delayMillis", delayMillis))
     }
 
     private fun installSignalHandlers() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/Ticker.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/Ticker.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import io.netty.util.concurrent.ScheduledFuture
+import org.banyanturn.daemon.ProcessClock
 import java.util.concurrent.TimeUnit
 
 /** Interval between checks of retries, waiting requests and deadlines while anything waits. */
@@ -17,11 +18,14 @@
  */
 internal class Ticker(
     private val loop: EventLoop,
+    private val clock: ProcessClock,
     private val task: () -> Unit,
     private val isBusy: () -> Boolean,
 ) {
     private var next: ScheduledFuture<*>? = null
     private var isNextSoon = false
+    private var dueAtMillis = 0L
+    private var longestDelayMillis = 0L
 
     /** Starts the periodic calls. */
     fun start(): Unit = schedule(isSoon = false)
@@ -35,11 +39,17 @@
 
     private fun schedule(isSoon: Boolean) {
         isNextSoon = isSoon
-        next = loop.schedule(::run, if (isSoon) BUSY_INTERVAL_MILLIS else IDLE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+        val intervalMillis = if (isSoon) BUSY_INTERVAL_MILLIS else IDLE_INTERVAL_MILLIS
+        dueAtMillis = clock.nowMillis() + intervalMillis
+        next = loop.schedule(::run, intervalMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun run() {
+        longestDelayMillis = maxOf(longestDelayMillis, clock.nowMillis() - dueAtMillis)
         task()
         schedule(isBusy())
     }
+
+    /** Returns the longest delay of a call since the last query, in milliseconds. */
+    fun takeLongestDelayMillis(): Long = longestDelayMillis.also { longestDelayMillis = 0 }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -15,6 +15,7 @@
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
 import org.banyanturn.entry.observe.DecisionLog
+import org.banyanturn.entry.observe.PlanningLog
 import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.FleetView
 
@@ -61,6 +62,7 @@
     private val running = LinkedHashMap<Long, RunningLoad>()
     private val queued = HashMap<Pair<ServiceName, ModelId>, QueuedLoad>()
 
+    private val planningLog = PlanningLog(clock, log)
     private val throttle = PlanningThrottle()
     private val servicesToPlan = LinkedHashSet<ServiceName>()
     private var isPlanning = false
@@ -80,7 +82,10 @@
     }
 
     /** Handles a request for the model [copy]; the answer is sent to [requester]. */
-    fun request(service: ServiceName, copy: CopyName, requester: ModelRequester) {
+    fun request(service: ServiceName, copy: CopyName, requester: ModelRequester): Unit =
+        planningLog.measureRequest { handleRequest(service, copy, requester) }
+
+    private fun handleRequest(service: ServiceName, copy: CopyName, requester: ModelRequester) {
         val holder = holderOrNull(service, copy)
         if (holder != null) return transport.answer(requester, CopyAnswer(requester.number, 0, holder, reason = ""))
         recordMiss(service, copy.modelId, requester)
@@ -130,7 +135,7 @@
         try {
             val services = servicesToPlan.toList()
             servicesToPlan.clear()
-            services.forEach(::startLoads)
+            planningLog.measureRun { services.forEach(::startLoads) }
         } finally {
             isPlanning = false
             throttle.onPlanned(startMillis, clock.nowMillis())
@@ -214,6 +219,7 @@
     }
 
     private fun onDeclined(load: RunningLoad, reason: String) {
+        planningLog.recordDeclined()
         log.write(
             Event.COPY_DECLINED,
             field("copy", load.plan.modelId),
@@ -238,6 +244,15 @@
             .forEach { requestPlanning(it.name) }
     }
 
+    /** Logs what this planner did since the last call; called about once a second. */
+    fun writeSummary() {
+        planners.keys.forEach { service ->
+            val loads = running.values.filter { it.service == service }
+            val queuedModels = queued.keys.count { it.first == service }
+            planningLog.write(service, queuedModels, loads.size, loads.count { it.plan.isFromStore })
+        }
+    }
+
     /** Resends unanswered orders, abandons failed loads and starts queued ones; called every few milliseconds. */
     fun tick() {
         val nowMillis = clock.nowMillis()
--- /dev/null
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
@@ -0,0 +1,71 @@
+package org.banyanturn.entry.observe
+
+import org.banyanturn.core.serving.ServiceName
+import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.daemon.logs.Event
+import org.banyanturn.daemon.logs.field
+
+/** Counts the work of a planner and the time that it takes on the event loop, and logs both every second. */
+internal class PlanningLog(private val clock: ProcessClock, private val log: DecisionLog) {
+    private var runs = 0
+    private var runMillis = 0L
+    private var longestRunMillis = 0L
+    private var requests = 0
+    private var requestMillis = 0L
+    private var declined = 0
+
+    /** Runs and measures one planning run. */
+    fun <T> measureRun(run: () -> T): T {
+        val startMillis = clock.nowMillis()
+        return run().also {
+            val millis = clock.nowMillis() - startMillis
+            runs++
+            runMillis += millis
+            longestRunMillis = maxOf(longestRunMillis, millis)
+        }
+    }
+
+    /** Runs and measures the handling of one request for a model. */
+    fun <T> measureRequest(handle: () -> T): T {
+        val startMillis = clock.nowMillis()
+        return handle().also {
+            requests++
+            requestMillis += clock.nowMillis() - startMillis
+        }
+    }
+
+    /** Counts a load that was declined, or that has failed. */
+    fun recordDeclined() {
+        declined++
+    }
+
+    /**
+     * Writes the figures for [service] since the last call.
+     *
+     * @param queued the number of requested models whose load has not started.
+     * @param running the number of loads that were ordered and have not ended.
+     * @param fromStore how many of these loads come from the weight store.
+     */
+    fun write(service: ServiceName, queued: Int, running: Int, fromStore: Int) {
+        if (runs == 0 && requests == 0) return
+        log.write(
+            Event.PLANNING_SUMMARY,
+            field("service", service),
+            field("runs", runs),
+            field("runMillis", runMillis),
+            field("longestRunMillis", longestRunMillis),
+            field("requests", requests),
+            field("requestMillis", requestMillis),
+            field("declined", declined),
+            field("queued", queued),
+            field("running", running),
+            field("fromStore", fromStore),
+        )
+        runs = 0
+        runMillis = 0
+        longestRunMillis = 0
+        requests = 0
+        requestMillis = 0
+        declined = 0
+    }
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -9,6 +9,7 @@
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.http.TargetConnectionPool
+import org.banyanturn.entry.observe.CopyOutcomeLog
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
 import org.banyanturn.entry.turns.PromptTurnCoordinator
@@ -30,6 +31,9 @@
     val metrics: EntryMetrics,
     val random: Random,
 ) {
+    /** Counts what becomes of the requests for each copy. */
+    val copyOutcomes = CopyOutcomeLog(log)
+
     /** Handles the notices on further requests in targets' responses. */
     val notices = TargetNoticeHandler(view, log, metrics)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -85,6 +85,7 @@
         copy?.let {
             environment.view.recordDemand(service, it, promptTokens)
             environment.targetSelector.recordArrival(requirements)
+            environment.copyOutcomes.recordArrival(it)
         }
         handle(RequestEvent.Started)
     }
@@ -283,12 +284,14 @@
         response = null
         decisionLog.answered(received.statusCode, state.attempts)
         environment.metrics.answered(now() - exchange.arrivedAtMillis)
+        if (received.statusCode == STATUS_OK) copy?.let(environment.copyOutcomes::recordServed)
         exchange.answer(received.statusCode, received.callerHeaders(), received.body)
     }
 
     private fun finishStream() {
         decisionLog.answered(STATUS_OK, state.attempts)
         environment.metrics.answered(now() - exchange.arrivedAtMillis)
+        copy?.let(environment.copyOutcomes::recordServed)
         exchange.finish()
     }
 
@@ -310,6 +313,7 @@
     private fun respondWithRefusal(refusal: EntryRefusal) {
         decisionLog.refused(refusal)
         environment.metrics.refused(refusal.reason)
+        copy?.let(environment.copyOutcomes::recordRefused)
         if (refusal.outcome == RequestOutcome.NOT_RUN) {
             admission.member?.let { environment.limits.refund(it, admission.cost) }
         }
