Refuse requests that are complete only after the VM has stopped accepting

Cause: the shutdown closed the listening socket and idle connections 2.5 s after the signal, but a connection on which a request was being read stayed, and so did requests that waited for their member's limit. Both went to a target whenever they were complete, however little of the grace was left.

Evidence: LateRequestInShutdownTest keeps one stream running and completes the bodies of three requests (stream, safe, once only) after the VM has stopped accepting. Before: no answer within a second, all three were sent on (SocketTimeout at the first). Ruled out: new connections, which are refused then.

Change: DrainStateMachine.acceptsRequests, which nothing asked, is asked when a request is admitted; a later one gets 503 not-run at once with Connection: close, and its limit back.

Result: the test and EntryProcessTest pass.

--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -248,6 +248,7 @@
         crashes.requests.onRecord = peerMessenger::sendCrashRecord
         crashes.promptParts.onRecord = peerMessenger::sendPromptPartRecord
         environment.onTargetDead = peerMessenger::sendDeadTarget
+        environment.acceptsRequests = { shutdown.acceptsRequests }
         environment.turns.transport = peerMessenger
         copyRequests.transport = peerMessenger
         copyRequests.waiting = pendingRequests
--- a/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
@@ -42,6 +42,10 @@
     val isServing: Boolean
         get() = machine.isReady
 
+    /** Whether a request may still be sent to a target; later ones could be cut off by the end of the process. */
+    val acceptsRequests: Boolean
+        get() = machine.acceptsRequests
+
     /** Tracks [exchange] until it has ended. */
     fun track(exchange: CallerExchange) {
         val requestId = RequestId("exchange-${++lastNumber}")
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -46,6 +46,9 @@
     /** Called when a target's host has refused a connection, so that nothing listens there. */
     var onTargetDead: (KnownTarget) -> Unit = {}
 
+    /** Returns whether requests may still be sent to targets; `false` late in a shutdown. */
+    var acceptsRequests: () -> Boolean = { true }
+
     private val requestMachines = HashMap<Pair<ServiceName, Int>, RequestStateMachine>()
     private val latenciesByRoute = HashMap<String, RouteLatencies>()
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -21,6 +21,9 @@
  */
 private const val NOT_READY_RETRY_MILLIS = 500L
 
+/** Retry delay for callers of a VM that stops; their next connection leads to another VM. */
+private const val STOPPING_RETRY_MILLIS = 100L
+
 /** Maximum jitter added to a retry delay, as a fraction of that delay. */
 private const val RETRY_JITTER_FRACTION = 0.5
 
@@ -77,13 +80,20 @@
         listOf(field("member", memberId), field("route", admission.route.name), field("cost", admission.cost)) +
             memberId?.let { environment.limits.stateFields(it) }.orEmpty()
 
+    /** Starts to serve an admitted request, which may have waited for its limit, or for the rest of its body. */
     private fun start(admission: Admission) {
+        if (!environment.acceptsRequests()) return refuseStopping(admission)
         val target = pickTarget(admission.route.targets, environment.random)
             ?: return refuse(admission.exchange, admission.call, EntryRefusal.NoRoute)
         environment.retries.recordRequest(target.service, now())
         ServedRequest(admission, target.service, environment).start()
     }
 
+    private fun refuseStopping(admission: Admission) {
+        admission.member?.let { environment.limits.refund(it, admission.cost) }
+        refuse(admission.exchange, admission.call, EntryRefusal.Unavailable("stopping", STOPPING_RETRY_MILLIS))
+    }
+
     private fun refuse(
         exchange: CallerExchange,
         call: CallerHeaders,
