--- a/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
@@ -58,6 +58,10 @@
         return ScriptedAnswer(head + framed(framing, body, isWhole), end)
     }
 
+    /** Returns the head of an answer without the empty line that ends it. */
+    private fun headWithoutEnd(attemptId: String?): String =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: $attemptId\r\nServer-Seal: s\r\nContent-Length: 0\r\n"
+
     private fun framed(framing: AnswerFraming, body: String, isWhole: Boolean): String =
         when (framing) {
             AnswerFraming.LENGTH -> "Content-Length: ${body.length + if (isWhole) 0 else MISSING_BYTES}\r\n\r\n$body"
@@ -111,6 +115,21 @@
         }
     }
 
+    @Test
+    fun `an answer that ends inside its head is not complete, wherever the head is cut`() {
+        var cut = 0
+        startWith { request ->
+            val head = headWithoutEnd(request.attemptId)
+            ScriptedAnswer(head.take(head.length - cut), ConnectionEnd.CLOSE)
+        }
+        (0 until headWithoutEnd(attemptId = "a-1").length).forEach {
+            cut = it
+            listOf("/reports/1", "/open/1", "/book/1").forEach { path ->
+                assertEquals(null, successfulBodyOrNull(path), "the last $it bytes of the head are missing, $path")
+            }
+        }
+    }
+
     @Test
     fun `a whole answer reaches its caller in any framing`() {
         var framing = AnswerFraming.CONNECTION
