--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -3,7 +3,6 @@
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.placement.CopyName
-import org.banyanturn.core.placement.LoadExpectations
 import org.banyanturn.core.placement.LoadPlan
 import org.banyanturn.core.placement.ModelPlanner
 import org.banyanturn.core.placement.ModelPlannerSettings
@@ -36,12 +35,6 @@
  */
 private const val MAX_SENDS = 6
 
-/** Minimum time for which the expected times of loads are used without another evaluation. */
-private const val MIN_EXPECTATIONS_TTL_MILLIS = 100L
-
-/** The same time as a multiple of the duration of the evaluation, which grows with the deployment. */
-private const val EXPECTATIONS_TTL_FACTOR = 4
-
 /** Time between two attempts to plan loads for queued requests. */
 private const val QUEUE_RETRY_MILLIS = 100L
 
@@ -69,8 +62,7 @@
     private val running = LinkedHashMap<Long, RunningLoad>()
     private val queued = HashMap<Pair<ServiceName, ModelId>, QueuedLoad>()
 
-    private val expectations = HashMap<ServiceName, KnownExpectations>()
-
+    private val expectations = LoadExpectationCache(clock)
     private val planningLog = PlanningLog(clock, log)
     private val throttle = PlanningThrottle()
     private val servicesToPlan = LinkedHashSet<ServiceName>()
@@ -120,24 +112,17 @@
 
     /** Queues [requester] and answers when its load can be expected, or that no load is possible. */
     private fun enqueue(service: ServiceName, copy: CopyName, requester: ModelRequester) {
-        val waitMillis = expectationsOrNull(service, copy.modelId)?.expectedMillisOrNull(copy.modelId)
+        val waitMillis = expectedMillisOrNull(service, copy.modelId)
         if (waitMillis != null) queued.getOrPut(service to copy.modelId, ::QueuedLoad).add(requester, clock.nowMillis())
         transport.answer(requester, CopyAnswer(requester.number, waitMillis, targetId = null, reason = "no_plan"))
     }
 
-    /** Returns the expected times of loads, which are evaluated anew if they are old or [modelId] had a copy then. */
-    private fun expectationsOrNull(service: ServiceName, modelId: ModelId): LoadExpectations? {
+    private fun expectedMillisOrNull(service: ServiceName, modelId: ModelId): Long? {
         val spec = view.catalog?.services?.get(service)?.engine ?: return null
-        val nowMillis = clock.nowMillis()
-        val known = expectations[service]
-        if (known != null && nowMillis < known.validUntilMillis && known.expectations.isMissing(modelId)) {
-            return known.expectations
+        val current = expectations.current(service, modelId) { nowMillis ->
+            plannerOf(service).expectations(enginesOf(service), spec, nowMillis)
         }
-        val evaluated = plannerOf(service).expectations(enginesOf(service), spec, nowMillis)
-        val endMillis = clock.nowMillis()
-        val ttlMillis = maxOf(MIN_EXPECTATIONS_TTL_MILLIS, (endMillis - nowMillis) * EXPECTATIONS_TTL_FACTOR)
-        expectations[service] = KnownExpectations(evaluated, endMillis + ttlMillis)
-        return evaluated
+        return current.expectedMillisOrNull(modelId)
     }
 
     private fun holderOrNull(service: ServiceName, copy: CopyName): TargetId? =
@@ -301,74 +286,3 @@
 
     private fun plannerOf(service: ServiceName): ModelPlanner = planners.getOrPut(service) { ModelPlanner() }
 }
-
-/** The expected times of loads, used until [validUntilMillis]. */
-private class KnownExpectations(val expectations: LoadExpectations, val validUntilMillis: Long)
-
-/** The latest request of each VM for one model; a VM that requests a model again has given up its earlier request. */
-private class Requesters {
-    private val byHost = LinkedHashMap<String?, ModelRequester>()
-
-    /** Returns whether the VM [host] has requested the model. */
-    fun hasRequestOf(host: String?): Boolean = host in byHost
-
-    /** Adds [requester] in place of an earlier request of its VM. */
-    operator fun plusAssign(requester: ModelRequester) {
-        byHost[requester.host] = requester
-    }
-
-    /** Adds the requests of [others] in place of earlier requests of their VMs. */
-    operator fun plusAssign(others: Requesters) {
-        byHost += others.byHost
-    }
-
-    /** Returns the requests, which may be answered while others arrive. */
-    fun toList(): List<ModelRequester> = byHost.values.toList()
-
-    /** Removes all requests. */
-    fun clear(): Unit = byHost.clear()
-}
-
-/** Represents a requested model whose load has not started, with the VMs that requested it. */
-private class QueuedLoad {
-    val requesters = Requesters()
-    var requestedAtMillis = Long.MIN_VALUE
-        private set
-
-    fun add(requester: ModelRequester, nowMillis: Long) {
-        requesters += requester
-        requestedAtMillis = nowMillis
-    }
-}
-
-/** Represents a load that was ordered and has not ended. */
-private class RunningLoad(
-    val number: Long,
-    val service: ServiceName,
-    val plan: LoadPlan,
-    val startedAtMillis: Long,
-) {
-    val requesters = Requesters()
-    var sentAtMillis = startedAtMillis
-    var sends = 0
-    var expectedAtMillis = startedAtMillis
-    var isAnswered = false
-
-    /** Time beyond [expectedAtMillis] before the load is overdue; loads take longer while many run. */
-    val graceMillis: Long
-        get() = (expectedAtMillis - startedAtMillis).coerceAtLeast(MIN_GRACE_MILLIS)
-
-    /** Returns and removes the requests that wait for this load. */
-    fun drainRequesters(): Requesters =
-        Requesters().also {
-            it += requesters
-            requesters.clear()
-        }
-
-    fun answerTo(requester: ModelRequester, nowMillis: Long): CopyAnswer =
-        CopyAnswer(requester.number, (expectedAtMillis - nowMillis).coerceAtLeast(1), plan.targetId, reason = "")
-
-    private companion object {
-        const val MIN_GRACE_MILLIS = 2_000L
-    }
-}
