Log the planner's work once for all services of a VM

PlanningLog counts the work of one VM, but was written once for each service that the VM plans for: the first one got all figures. BT3012 has no service any more. Found by reading; SummaryLogTest.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -168,7 +168,7 @@
     /** An engine was selected for a requested model. */
     LOAD_PLANNED(3011, Level.INFO, "an engine was selected for a model"),
 
-    /** What the planner of a service did in the last second, and the time that it took. */
+    /** What a VM that plans loads did in the last second, and the time that it took. */
     PLANNING_SUMMARY(3012, Level.INFO, "loads were planned"),
 
     /** How many requests arrived, were served and were refused for each copy. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -253,13 +253,8 @@
     }
 
     /** Logs what this planner did since the last call; called about once a second. */
-    fun writeSummary() {
-        planners.keys.forEach { service ->
-            val loads = running.values.filter { it.service == service }
-            val queuedModels = queued.keys.count { it.first == service }
-            planningLog.write(service, queuedModels, loads.size, loads.count { it.plan.isFromStore })
-        }
-    }
+    fun writeSummary(): Unit =
+        planningLog.write(queued.size, running.size, fromStore = running.values.count { it.plan.isFromStore })
 
     /** Resends unanswered orders, abandons failed loads and starts queued ones; called every few milliseconds. */
     fun tick() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
@@ -1,11 +1,10 @@
 package org.banyanturn.entry.observe
 
-import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
 
-/** Counts the work of a planner and the time that it takes on the event loop, and logs both every second. */
+/** Counts the planning of loads and the time that it takes on the event loop, and logs both every second. */
 internal class PlanningLog(private val clock: ProcessClock, private val log: DecisionLog) {
     private var runs = 0
     private var runMillis = 0L
@@ -40,17 +39,16 @@
     }
 
     /**
-     * Writes the figures for [service] since the last call.
+     * Writes the figures since the last call.
      *
      * @param queued the number of requested models whose load has not started.
      * @param running the number of loads that were ordered and have not ended.
      * @param fromStore how many of these loads come from the weight store.
      */
-    fun write(service: ServiceName, queued: Int, running: Int, fromStore: Int) {
+    fun write(queued: Int, running: Int, fromStore: Int) {
         if (runs == 0 && requests == 0) return
         log.write(
             Event.PLANNING_SUMMARY,
-            field("service", service),
             field("runs", runs),
             field("runMillis", runMillis),
             field("longestRunMillis", longestRunMillis),
--- a/entry/src/test/kotlin/org/banyanturn/entry/observe/SummaryLogTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/observe/SummaryLogTest.kt
@@ -3,7 +3,6 @@
 import org.banyanturn.core.AdapterId
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.placement.CopyName
-import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.entry.CapturedLogLines
@@ -40,16 +39,16 @@
     @Test
     fun `the time that planning takes on the event loop is logged`() {
         val planning = PlanningLog(clock, log)
-        planning.write(ServiceName("idle"), queued = 0, running = 0, fromStore = 0)
-        assertFalse(lines.has(Event.PLANNING_SUMMARY, "service=idle"))
+        planning.write(queued = 0, running = 0, fromStore = 0)
+        assertFalse(lines.has(Event.PLANNING_SUMMARY, ""))
         planning.measureRun { nowMillis += 70 }
         planning.measureRun { nowMillis += 20 }
         planning.measureRequest { nowMillis += 5 }
-        planning.write(ServiceName("llm"), queued = 4, running = 2, fromStore = 1)
+        planning.write(queued = 4, running = 2, fromStore = 1)
         assertTrue(
             lines.has(
                 Event.PLANNING_SUMMARY,
-                "service=llm runs=2 runMillis=90 longestRunMillis=70 requests=1 requestMillis=5 declined=0 " +
+                "runs=2 runMillis=90 longestRunMillis=70 requests=1 requestMillis=5 declined=0 " +
                     "queued=4 running=2 fromStore=1",
             ),
         )
