--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
@@ -26,6 +26,7 @@
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.TargetRequirements
 import java.util.PriorityQueue
+import kotlin.math.ln
 import kotlin.random.Random
 
 /** Counts look-ups, the unit in which the work of the simulated planner is measured. */
@@ -136,7 +137,7 @@
     }
 
     private fun scheduleArrival(perSecond: Double, drawModel: (Random) -> Int) {
-        val gapMillis = -Math.log(1 - random.nextDouble()) / perSecond * MILLIS_PER_SECOND
+        val gapMillis = -ln(1 - random.nextDouble()) / perSecond * MILLIS_PER_SECOND
         schedule(gapMillis.toLong()) {
             vms[random.nextInt(vms.size)].onRequest(models[drawModel(random)])
             scheduleArrival(perSecond, drawModel)
