Revert the rank of loads that need the store

Cause of the try: models that still starve are refused with no_plan, and by reading the rank of loads from the store counts models that need none of it.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/LoadExpectations.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/LoadExpectations.kt
@@ -13,13 +13,9 @@
     private val storeLoadsRemainingMillis: List<Long>,
     private val evictionMillis: Long,
 ) {
-    private val ranks = ranksOf(evaluator.candidates)
-
-    /** The rank of each missing model among those that can be loaded from the store only. */
-    private val storeRanks = ranksOf(evaluator.candidates.filterNot(evaluator::isOnHost))
-
-    private fun ranksOf(models: List<ModelSpec>): Map<ModelId, Int> =
-        models.withIndex().associate { (rank, model) -> model.modelId to rank }
+    private val ranks = HashMap<ModelId, Int>().also { ranks ->
+        evaluator.candidates.forEachIndexed { rank, model -> ranks[model.modelId] = rank }
+    }
 
     /** Returns whether [modelId] lacked a copy when the loads were evaluated. */
     public fun isMissing(modelId: ModelId): Boolean = modelId in ranks
@@ -33,8 +29,7 @@
         val model = evaluator.candidates[rank]
         if (!evaluator.canEverLoad(model)) return null
         val hostReadyMillis = evaluator.hostReadyMillisOrNull(model, rank)
-        val storeReadyMillis = storeReadyMillisOrNull(model, storeRanks[modelId] ?: rank)
-        return listOfNotNull(hostReadyMillis, storeReadyMillis).minOrNull()
+        return listOfNotNull(hostReadyMillis, storeReadyMillisOrNull(model, rank)).minOrNull()
     }
 
     /** Returns the time in milliseconds until a load from the store is done for the model with zero-based [rank]. */
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
@@ -102,9 +102,6 @@
         return best?.plan
     }
 
-    /** Returns whether the host of any engine caches the weights of [model]. */
-    fun isOnHost(model: ModelSpec): Boolean = model.modelId in hosts
-
     private fun hostsOf(model: ModelSpec): List<PlannedEngine> = hosts[model.modelId].orEmpty()
 
     private fun bestFromStoreOrNull(model: ModelSpec): LoadOption? {
