--- a/review/standin/Harness.java
+++ b/review/standin/Harness.java
@@ -99,6 +99,15 @@
         return true;
     }
 
+    /** Starts a process of a stand-in, which ends with the case. */
+    Process startProcess(String... command) throws IOException {
+        Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        synchronized (processes) {
+            processes.add(process);
+        }
+        return process;
+    }
+
     // ---- entry processes ----
 
     /** One entry process, started with the command of the deploy file. */
