Tell of bytes that targets send where no answer is due

A connection that keeps bytes of an unfinished line looks clean, since only decoded messages were looked at.

BT2013 and banyanturn_unsolicited_bytes tell of bytes in the read of a whole answer, on an idle connection, and of bytes that were undecoded when the next attempt was sent. The codec for both directions is split into encoder and decoder, since only a decoder of our own can say how many bytes it holds; HEAD is told to it for each request.

No decision changes.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -138,6 +138,9 @@
     /** A target's response ended with its connection, without a length or chunks that mark its end. */
     RESPONSE_ENDED_BY_CLOSE(2012, Level.INFO, "a response ended with its connection"),
 
+    /** A target sent bytes on a connection on which no response was due. */
+    UNSOLICITED_BYTES(2013, Level.WARN, "a target sent bytes where no response was due"),
+
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -40,6 +40,7 @@
 import org.banyanturn.entry.http.listenForSmallRequests
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.observe.UnsolicitedBytesLog
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerLiveness
 import org.banyanturn.entry.peers.PeerMessenger
@@ -109,7 +110,12 @@
     private val log = DecisionLog(clock, metrics)
     private val self = Peer(Incarnation(boot.vmId, System.currentTimeMillis()), boot.zoneId, boot.address)
     private val view = FleetView(clock, boot.zoneId)
-    private val connectionPool = TargetConnectionPool(loop, clock, boot.answerLimits)
+    private val connectionPool = TargetConnectionPool(
+        loop,
+        clock,
+        boot.answerLimits,
+        unsolicitedBytesListener = UnsolicitedBytesLog(log, metrics),
+    )
     private val exchanges = PooledHttpExchanges(connectionPool)
     private val store = HostedStore(boot.storeAddress, exchanges)
     private val ownership = Ownership(
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -32,8 +33,10 @@
  */
 internal class TargetConnection(
     private val channel: Channel,
+    private val decoder: TargetResponseDecoder,
     private val onIdle: (TargetConnection) -> Unit,
     private val onClosed: (TargetConnection) -> Unit,
+    private val onUnsolicitedBytes: (UnsolicitedPlace, byteCount: Int) -> Unit,
     private val limits: AnswerLimits = AnswerLimits(),
 ) : ChannelInboundHandlerAdapter() {
     private var listener: AttemptListener? = null
@@ -69,6 +72,8 @@
      */
     fun send(request: FullHttpRequest, newAttemptId: String?, newListener: AttemptListener): TargetAttempt {
         check(listener == null) { "the connection already carries an attempt" }
+        reportUnsolicited(UnsolicitedPlace.REUSED, decoder.undecodedBytes)
+        decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         listener = newListener
         attemptId = newAttemptId
         responseState = ResponseState.NONE
@@ -86,6 +91,10 @@
         return ConnectionAttempt(newListener)
     }
 
+    private fun reportUnsolicited(place: UnsolicitedPlace, byteCount: Int) {
+        if (byteCount > 0) onUnsolicitedBytes(place, byteCount)
+    }
+
     private inner class ConnectionAttempt(private val ownListener: AttemptListener) : TargetAttempt {
         override fun cancel() {
             if (listener !== ownListener) return
@@ -107,9 +116,14 @@
                 ReferenceCountUtil.release(message)
                 return fail(AttemptFailureKind.MALFORMED, "$receivedBytes bytes are no answer")
             }
-            if (message is ByteBuf) receivedBytes += message.readableBytes()
+            if (message is ByteBuf) count(message.readableBytes())
             context.fireChannelRead(message)
         }
+
+        private fun count(byteCount: Int) {
+            receivedBytes += byteCount
+            if (listener == null) reportUnsolicited(UnsolicitedPlace.IDLE, byteCount)
+        }
     }
 
     /** Closes the connection with a reset, so that unsent bytes are dropped instead of delivered later. */
@@ -185,6 +199,7 @@
         if (cause != null) return fail(AttemptFailureKind.BROKEN, "the connection broke: $cause")
         val endedListener = listener ?: return
         val endedFraming = endedFraming()
+        reportUnsolicited(UnsolicitedPlace.AFTER_ANSWER, decoder.undecodedBytes)
         listener = null
         channel.config().isAutoRead = true
         if (mayReuse && isRequestWritten && channel.isActive) onIdle(this) else close()
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
@@ -11,7 +11,8 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import org.banyanturn.core.delivery.AnswerLimits
 import org.banyanturn.daemon.ProcessClock
@@ -42,6 +43,11 @@
 private const val MAX_HEADER_BYTES = 65_536
 private const val MAX_CHUNK_BYTES = 16_384
 
+private val DECODER_CONFIG = HttpDecoderConfig()
+    .setMaxInitialLineLength(MAX_LINE_BYTES)
+    .setMaxHeaderSize(MAX_HEADER_BYTES)
+    .setMaxChunkSize(MAX_CHUNK_BYTES)
+
 /**
  * Represents a pool of connections to targets, which are kept open between attempts.
  *
@@ -52,6 +58,7 @@
     private val clock: ProcessClock,
     private val limits: AnswerLimits = AnswerLimits(),
     private val settings: ConnectionPoolSettings = ConnectionPoolSettings(),
+    private val unsolicitedBytesListener: UnsolicitedBytesListener = UnsolicitedBytesListener { _, _, _ -> },
 ) {
     private val idle = HashMap<SocketAddressText, ArrayDeque<TargetConnection>>()
     private val openByAddress = HashMap<SocketAddressText, Int>()
@@ -152,16 +159,7 @@
             val attempt = bootstrap.clone().handler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
-                        val opened = TargetConnection(
-                            channel,
-                            onIdle = { release(address, it) },
-                            onClosed = { remove(address, it) },
-                            limits,
-                        )
-                        connection = opened
-                        channel.pipeline().addLast(opened.byteCounter)
-                        channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        channel.pipeline().addLast(opened)
+                        connection = open(channel)
                     }
                 },
             ).connect(address.host, address.port)
@@ -169,6 +167,22 @@
             attempt.addListener { done -> onConnected(done.isSuccess, done.cause(), connection) }
         }
 
+        private fun open(channel: Channel): TargetConnection {
+            val decoder = TargetResponseDecoder(DECODER_CONFIG)
+            val opened = TargetConnection(
+                channel,
+                decoder,
+                onIdle = { release(address, it) },
+                onClosed = { remove(address, it) },
+                onUnsolicitedBytes = { place, byteCount ->
+                    unsolicitedBytesListener.onUnsolicitedBytes(address, place, byteCount)
+                },
+                limits,
+            )
+            channel.pipeline().addLast(opened.byteCounter, HttpRequestEncoder(), decoder, opened)
+            return opened
+        }
+
         private fun connectFailure(cause: Throwable?): AttemptFailure {
             val isTimeout = cause is ConnectTimeoutException
             val kind = if (isTimeout) AttemptFailureKind.CONNECT_TIMEOUT else AttemptFailureKind.CONNECT
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -16,6 +16,12 @@
     val unreadableNotices: Counter =
         counter("banyanturn_unreadable_notices", "Answers with a header about further requests that can't be read")
 
+    private val unsolicitedBytes: Counter = Counter.builder()
+        .name("banyanturn_unsolicited_bytes")
+        .help("Bytes that targets sent where no response was due, by place")
+        .labelNames("place")
+        .register(registry)
+
     private val refusals: Counter = Counter.builder()
         .name("banyanturn_refusals")
         .help("Final answers of the system's own, by reason")
@@ -39,6 +45,11 @@
         refusals.labelValues(reason).inc()
     }
 
+    /** Counts [byteCount] bytes that a target sent at [place], where no response was due. */
+    fun unsolicited(place: String, byteCount: Int) {
+        unsolicitedBytes.labelValues(place).inc(byteCount.toLong())
+    }
+
     private fun histogram(name: String, help: String): Histogram =
         Histogram.builder()
             .name(name)
