--- a/entry/src/test/kotlin/org/banyanturn/entry/ScriptedTarget.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/ScriptedTarget.kt
@@ -15,13 +15,15 @@
  * The raw bytes that a [ScriptedTarget] writes for one request, and what it does with the connection afterwards.
  *
  * @property repeated bytes that follow without end, until the connection is closed; empty if none do.
- * @property pauseMillis time between blocks of [repeated].
+ * @property pauseMillis time between blocks of [repeated], or before [trailing].
+ * @property trailing bytes behind the answer, in one write with it if [pauseMillis] is 0.
  */
 internal class ScriptedAnswer(
     val text: String,
     val end: ConnectionEnd = ConnectionEnd.KEEP,
     val repeated: String = "",
     val pauseMillis: Long = 0,
+    val trailing: String = "",
 )
 
 /**
@@ -85,8 +87,7 @@
         while (true) {
             val request = readRequestOrNull(connection.getInputStream(), answers++ > 0) ?: return
             val answer = if (isControl(request)) notFound() else answerTo(request)
-            connection.getOutputStream().write(answer.text.encodeToByteArray())
-            connection.getOutputStream().flush()
+            write(connection, answer)
             if (answer.repeated.isNotEmpty()) return writeWithoutEnd(connection, answer)
             when (answer.end) {
                 ConnectionEnd.KEEP -> continue
@@ -96,6 +97,16 @@
         }
     }
 
+    private fun write(connection: Socket, answer: ScriptedAnswer) {
+        val isSplit = answer.pauseMillis > 0 && answer.trailing.isNotEmpty()
+        val parts = if (isSplit) listOf(answer.text, answer.trailing) else listOf(answer.text + answer.trailing)
+        parts.forEachIndexed { index, part ->
+            if (index > 0) Thread.sleep(answer.pauseMillis)
+            connection.getOutputStream().write(part.encodeToByteArray())
+            connection.getOutputStream().flush()
+        }
+    }
+
     private fun writeWithoutEnd(connection: Socket, answer: ScriptedAnswer) {
         val bytes = answer.repeated.repeat(BLOCK_BYTES / answer.repeated.length + 1).encodeToByteArray()
         endlessAnswers.incrementAndGet()
