Send calls without an id only where no earlier answer can come

What callers saw: nothing yet; the same cause elsewhere. An order's second 200 or 202 would count as that of the next order, and the memory of an unload that did not happen would be given away twice.

Change: a connection to a target carries one call without an id, after any number of attempts with ids, whose late answers their ids tell. Requests with ids use the connection afterwards as before.

Ruled out: an id of our own in these calls, since engines don't repeat it; a connection for each call, since one that has carried only requests is as good.

--- a/core/src/main/kotlin/org/banyanturn/core/delivery/ConnectionAnswers.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/ConnectionAnswers.kt
@@ -8,19 +8,26 @@
  * to which attempt its next answer belongs. Immutable.
  *
  * A faulty target may write an earlier answer once more, whole or in part. Only the attempt id tells such an answer
- * from the one that is due, so an attempt that was turned away on a connection must not be sent on it again. Bytes that
- * belong to no answer may be the beginning of one: what comes next would be read as its rest, so the connection carries
- * nothing more.
+ * from the one that is due, so an attempt that was turned away on a connection must not be sent on it again, and a call
+ * without an id only on a connection that has carried none. Bytes that belong to no answer may be the beginning of one:
+ * what comes next would be read as its rest, so the connection carries nothing more.
  */
 public data class ConnectionAnswers(
     /** Whether all bytes that have come belong to answers. */
     val isClean: Boolean = true,
     private val hasAnswered: Boolean = false,
+    private val hasAnsweredWithoutId: Boolean = false,
     private val failedAttempts: PersistentSet<String> = persistentSetOf(),
 ) {
-    /** Returns whether an attempt with [attemptId], or without an id if it is `null`, may be sent on the connection. */
-    public fun mayCarry(attemptId: String?): Boolean =
-        isClean && attemptId !in failedAttempts && failedAttempts.size < MAX_FAILED_ATTEMPTS
+    /**
+     * Returns whether an attempt with [attemptId], or without an id if it is `null`, may be sent on the connection.
+     *
+     * @param answersOnce whether the server is known to write each answer once, so that no id is needed.
+     */
+    public fun mayCarry(attemptId: String?, answersOnce: Boolean = false): Boolean {
+        val isTold = attemptId != null || answersOnce || !hasAnsweredWithoutId
+        return isClean && isTold && attemptId !in failedAttempts && failedAttempts.size < MAX_FAILED_ATTEMPTS
+    }
 
     /** Returns whether an answer with [answeredId] belongs to the attempt with [attemptId], which waits for one. */
     public fun isDue(attemptId: String?, answeredId: String?): Boolean =
@@ -30,6 +37,7 @@
     public fun answered(attemptId: String?, isSuccess: Boolean): ConnectionAnswers =
         copy(
             hasAnswered = true,
+            hasAnsweredWithoutId = hasAnsweredWithoutId || attemptId == null,
             failedAttempts =
             if (isSuccess || attemptId == null) failedAttempts else failedAttempts.adding(attemptId),
         )
--- a/core/src/test/kotlin/org/banyanturn/core/delivery/ConnectionAnswersTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/delivery/ConnectionAnswersTest.kt
@@ -58,6 +58,16 @@
         }
     }
 
+    @Test
+    fun `a connection carries a second call without an id only if its server answers each call once`() {
+        val answeredWithoutId = used.answered(attemptId = null, isSuccess = true)
+        assertTrue(used.mayCarry(attemptId = null))
+        assertFalse(answeredWithoutId.mayCarry(attemptId = null))
+        assertTrue(answeredWithoutId.mayCarry(attemptId = null, answersOnce = true))
+        assertTrue(answeredWithoutId.mayCarry("b"))
+        assertFalse(answeredWithoutId.isDue("b", answeredId = null))
+    }
+
     @Test
     fun `no bytes behind an answer leave its connection as it is`() {
         assertTrue(used.receivedOutside(0).isClean)
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -67,8 +67,8 @@
     val isUsable: Boolean
         get() = channel.isActive && listener == null && mayReuse
 
-    /** Returns whether an attempt with [id], or without an id if it is `null`, may be sent on this connection. */
-    fun mayCarry(id: String?): Boolean = answers.mayCarry(id)
+    /** Returns whether an attempt with [id] may be sent on this connection; see [ConnectionAnswers.mayCarry]. */
+    fun mayCarry(id: String?, answersOnce: Boolean = false): Boolean = answers.mayCarry(id, answersOnce)
 
     /**
      * Sends [request]; [newListener] receives the response or the failure.
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
@@ -84,6 +84,7 @@
      * Sends [request], which is released, to [address]; [listener] receives the response or the failure.
      *
      * @param attemptId the attempt id that the response must carry, or `null` if the request has none.
+     * @param answersOnce whether the server is known to write each answer once.
      */
     fun send(
         address: SocketAddressText,
@@ -91,23 +92,24 @@
         attemptId: String?,
         listener: AttemptListener,
         maxIdleMillis: Long = settings.maxIdleMillis,
+        answersOnce: Boolean = false,
     ): TargetAttempt {
-        val pooled = takeIdleOrNull(address, attemptId, maxIdleMillis)
+        val pooled = takeIdleOrNull(address, maxIdleMillis) { it.mayCarry(attemptId, answersOnce) }
         if (pooled != null) return pooled.send(request, attemptId, listener)
         return PendingAttempt(address, request, attemptId, listener).also { it.connect() }
     }
 
     private fun takeIdleOrNull(
         address: SocketAddressText,
-        attemptId: String?,
         maxIdleMillis: Long,
+        isSuitable: (TargetConnection) -> Boolean,
     ): TargetConnection? {
         val connections = idle[address] ?: return null
         connections.filterNot { it.isUsable && isFresh(it, maxIdleMillis) }.forEach { stale ->
             connections -= stale
             stale.close()
         }
-        return connections.lastOrNull { it.mayCarry(attemptId) }?.also { connections -= it }
+        return connections.lastOrNull(isSuitable)?.also { connections -= it }
     }
 
     private fun isFresh(connection: TargetConnection, maxIdleMillis: Long): Boolean {
