Pass on a limited number of a stream's events in a turn of the event loop

Cause: a read of 64 KiB holds some 25,000 events of 2 bytes, and all of them were passed on in the turn that read them, with a system call for each chunk. The limit of 200,000 events bounded the stream, nothing bounded a turn, and the caller's writability stopped only the next read.

Evidence: stacks of the event loop in a run of the test. All 7 samples taken within the stream stood in OpenAttempt.split of a single read: 5 in CallerExchange.flush, 2 in CallerExchange.write.

Ruled out: splitting and the request's state machine (in no sample), and a smaller receive buffer, which would slow down large events and still let cheap bytes decide how long a turn takes. EventLoop.execute was no way to wait for a turn: its tasks run in the same turn, for up to a second. Scheduled tasks are fetched once in a turn.

Change: PacedEvents passes on 256 events of a stream, then stops reading and goes on in the next turn, which flushes once. The end or failure of the attempt comes after the events that wait; a cancelled attempt drops them. The connection is read only if neither the caller nor waiting events object. Waiting bytes count as memory of the answer. The splitter moves its bytes only when its buffer is full, and lets go of a large one when it is empty. EventSplitterTest takes the events one by one, since the splitter no longer calls back; it asserts the same.

--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EventSplitter.kt
@@ -24,27 +24,25 @@
     val bufferBytes: Long
         get() = pending.size.toLong()
 
-    /** Appends [content] and calls [onEvent] with each event that it completes, as long as [goesOn]. */
-    fun add(content: ByteBuf, goesOn: () -> Boolean = { true }, onEvent: (StreamEvent) -> Unit) {
-        append(content)
-        var end = endOfEventOrNull()
-        while (end != null && goesOn()) {
-            val bytes = pending.copyOfRange(start, end)
-            start = end
-            scanned = end
-            onEvent(StreamEvent(bytes, idOrNull(bytes)))
-            end = endOfEventOrNull()
-        }
-    }
-
-    private fun append(content: ByteBuf) {
-        if (start > 0) moveToFront()
+    /** Appends [content], from which [nextOrNull] takes the events. */
+    fun append(content: ByteBuf) {
         val added = content.readableBytes()
+        if (length + added > pending.size) moveToFront()
         if (length + added > pending.size) pending = pending.copyOf(maxOf(pending.size * 2, length + added))
         content.readBytes(pending, length, added)
         length += added
     }
 
+    /** Removes the next complete event and returns it, or returns `null` if there is none. */
+    fun nextOrNull(): StreamEvent? {
+        val end = endOfEventOrNull() ?: return null
+        val bytes = pending.copyOfRange(start, end)
+        start = end
+        scanned = end
+        if (start == length) clear()
+        return StreamEvent(bytes, idOrNull(bytes))
+    }
+
     private fun moveToFront() {
         pending.copyInto(pending, 0, start, length)
         length -= start
@@ -52,6 +50,13 @@
         start = 0
     }
 
+    private fun clear() {
+        start = 0
+        length = 0
+        scanned = 0
+        if (pending.size > MAX_EMPTY_BYTES) pending = ByteArray(INITIAL_BYTES)
+    }
+
     /** Returns the index after the first blank line, or `null` if there is none. */
     private fun endOfEventOrNull(): Int? {
         for (index in scanned until length) {
@@ -73,6 +78,9 @@
 
     private companion object {
         const val INITIAL_BYTES = 512
+
+        /** Size up to which an empty buffer is kept. */
+        const val MAX_EMPTY_BYTES = 16_384
         const val NEWLINE = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -22,6 +22,7 @@
 import org.banyanturn.platform.hosted.TargetAnswerHeaders
 import org.banyanturn.platform.hosted.isMisdirected
 import org.banyanturn.platform.hosted.readTargetAnswerHeaders
+import java.util.concurrent.TimeUnit
 
 /**
  * Represents one attempt to run a request at [target]; reads the response and reports the result to [receiver].
@@ -39,7 +40,7 @@
     private val sentAtMillis: Long,
     private val callerAttemptId: String?,
     private val turn: PromptTurn?,
-) : AttemptListener, AnswerHolder {
+) : AttemptListener, AnswerHolder, PacedEventReceiver {
     private val state = environment.view.stateOf(target)
     private val limits = environment.answerLimits
     private var targetAttempt: TargetAttempt? = null
@@ -47,7 +48,8 @@
     private var head: HttpResponse? = null
     private var responseHeaders: TargetAnswerHeaders? = null
     private var body: ByteBuf? = null
-    private val events = EventSplitter()
+    private val events = PacedEvents(this) { environment.loop.schedule(it, 0, TimeUnit.NANOSECONDS) }
+    private var isReadingWanted = true
 
     /** The number of complete events that the stream has brought. */
     var eventCount = 0
@@ -94,7 +96,12 @@
 
     /** Stops or resumes reading the response. */
     fun setReading(isReading: Boolean) {
-        targetAttempt?.setReading(isReading)
+        isReadingWanted = isReading
+        updateReading()
+    }
+
+    private fun updateReading() {
+        targetAttempt?.setReading(isReadingWanted && !events.isPaused)
     }
 
     override fun onHead(response: HttpResponse) {
@@ -114,23 +121,34 @@
 
     override fun onBody(content: ByteBuf) {
         if (isSettled) return
-        if (isStreaming) split(content) else collect(content)
+        if (isStreaming) events.add(content) else collect(content)
+        recordMemory()
+    }
+
+    private fun recordMemory() {
         if (!isSettled) environment.answerMemory.hold(this, bufferedBytes())
     }
 
     /** Returns the memory that the buffers take, which may be twice what they hold. */
     private fun bufferedBytes(): Long = events.bufferBytes + (body?.capacity()?.toLong() ?: 0)
 
-    private fun split(content: ByteBuf) {
-        events.add(content, goesOn = { !isSettled && eventCount <= limits.maxEvents }) { event ->
-            eventCount++
-            receiver.onStreamPart(this, event)
-        }
+    override val acceptsEvents: Boolean
+        get() = !isSettled && eventCount <= limits.maxEvents
+
+    override fun onEvent(event: StreamEvent) {
+        eventCount++
+        receiver.onStreamPart(this, event)
+    }
+
+    override fun onEventsEnd() {
         receiver.onStreamPartsEnd()
-        if (events.partialBytes > limits.maxEventBytes) giveUp("an event without end")
+        if (!events.isPaused && events.partialBytes > limits.maxEventBytes) giveUp("an event without end")
         if (eventCount > limits.maxEvents) giveUp("a stream without end")
+        recordMemory()
     }
 
+    override fun onPause(isPaused: Boolean): Unit = updateReading()
+
     /** Copies [content], since a part of it would keep the whole buffer into which it was read. */
     private fun collect(content: ByteBuf) {
         val collected = body ?: ByteBufAllocator.DEFAULT.buffer(content.readableBytes()).also { body = it }
@@ -140,7 +158,9 @@
         collected.writeBytes(content)
     }
 
-    override fun onEnd(framing: AnswerFraming) {
+    override fun onEnd(framing: AnswerFraming): Unit = events.afterEvents { end(framing) }
+
+    private fun end(framing: AnswerFraming) {
         if (isSettled) return
         if (framing == AnswerFraming.CONNECTION) {
             receiver.decisionLog.endedByClose(
@@ -223,7 +243,9 @@
         return TargetResponse(responseHead.status().code(), responseHead.headers(), content)
     }
 
-    override fun onFailure(failure: AttemptFailure) {
+    override fun onFailure(failure: AttemptFailure): Unit = events.afterEvents { handleFailure(failure) }
+
+    private fun handleFailure(failure: AttemptFailure) {
         if (isSettled) return
         settle()
         recordFailure()
--- a/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/BrokenAnswerTest.kt
@@ -145,6 +145,45 @@
         }
     }
 
+    @Test
+    fun `a stream of more events than pass in one turn reaches its caller whole in any framing`() {
+        var framing = AnswerFraming.CONNECTION
+        startWith {
+            val end = if (framing == AnswerFraming.CONNECTION) ConnectionEnd.CLOSE else ConnectionEnd.KEEP
+            answer(it, framing, MANY_EVENTS, end, isWhole = true)
+        }
+        AnswerFraming.entries.forEach {
+            framing = it
+            repeat(REPEATS) { number ->
+                assertEquals(MANY_EVENTS, successfulBodyOrNull("/reports/1"), "$framing, request $number")
+            }
+        }
+    }
+
+    @Test
+    fun `a stream of more events than pass in one turn that breaks off is not complete in any framing`() {
+        var framing = AnswerFraming.CONNECTION
+        var end = ConnectionEnd.CLOSE
+        startWith { answer(it, framing, MANY_EVENTS + "id: 5001\nda", end, isWhole = false) }
+        AnswerFraming.entries.forEach {
+            framing = it
+            listOf(ConnectionEnd.CLOSE, ConnectionEnd.RESET).forEach { ending ->
+                end = ending
+                assertEquals(null, successfulBodyOrNull("/reports/1"), "$framing $ending")
+            }
+        }
+    }
+
+    @Test
+    fun `a stream of more events than pass in one turn that breaks off resumes after the last of them`() {
+        startWith { request ->
+            val isResumed = request.headers["last-event-id"] == "5000"
+            val body = if (isResumed) "id: 5001\ndata: c\n\n" else MANY_EVENTS + "id: 5001\nda"
+            answer(request, AnswerFraming.CONNECTION, body, ConnectionEnd.CLOSE, isWhole = true)
+        }
+        assertEquals(MANY_EVENTS + "id: 5001\ndata: c\n\n", successfulBodyOrNull("/notes/1"))
+    }
+
     @Test
     fun `a stream that breaks off inside an event resumes at the next attempt`() {
         startWith { request ->
@@ -224,6 +263,8 @@
     private companion object {
         const val WHOLE_STREAM = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
         const val MISSING_BYTES = 40
+        const val REPEATS = 5
+        val MANY_EVENTS = (1..5_000).joinToString("") { "id: $it\n\n" }
         const val READ_TIMEOUT_MILLIS = 3_000
     }
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/EventSplitterTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EventSplitterTest.kt
@@ -11,7 +11,10 @@
     private fun split(parts: List<String>): Pair<List<StreamEvent>, EventSplitter> {
         val splitter = EventSplitter()
         val events = ArrayList<StreamEvent>()
-        parts.forEach { part -> splitter.add(Unpooled.wrappedBuffer(part.encodeToByteArray())) { events += it } }
+        parts.forEach { part ->
+            splitter.append(Unpooled.wrappedBuffer(part.encodeToByteArray()))
+            events += generateSequence { splitter.nextOrNull() }
+        }
         return events to splitter
     }
 
