Split the owned engines' copy requests from PeerMessenger

What callers saw: nothing; behaviour is unchanged.

Cause: PeerMessenger sent and dispatched all datagrams, and also answered requests for copies as the owner of engines and converted their messages.

Change: OwnedCopyRequests answers as the owner and remembers who waits for a copy; CopyMessages.kt converts between copies and messages. Code is moved, not changed.

Measured: the tests of entry.copies and of peer datagrams, liveness, ownership and crashing parts pass; formatter and linter pass.

--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -1,13 +1,11 @@
 package org.banyanturn.entry.peers
 
-import org.banyanturn.core.AdapterId
 import org.banyanturn.core.Incarnation
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.VmId
 import org.banyanturn.core.isIdentifier
 import org.banyanturn.core.placement.CopyName
-import org.banyanturn.core.placement.CopyRequestResult
 import org.banyanturn.core.placement.LoadPlan
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
@@ -29,9 +27,6 @@
 import org.banyanturn.entry.turns.TurnOwner
 import org.banyanturn.entry.turns.TurnTransport
 
-/** Value of [CopyReplyMessage.readyInMillis] for a declined request. */
-private const val DECLINED = -1L
-
 /** Most hosts of other VMs that are remembered since they sent a datagram. */
 private const val MAX_SENDER_HOSTS = 1_000
 
@@ -53,7 +48,7 @@
     private val turns: PromptTurnCoordinator,
 ) : CopyRequestTransport, ModelLoadTransport, TurnTransport {
     private val senderHosts = LinkedHashSet<String>()
-    private val readyWaiters = HashMap<Pair<TargetId, CopyName>, MutableMap<String, Long>>()
+    private val ownedCopies = OwnedCopyRequests(engines)
 
     /** The socket that sends the datagrams; must be set before the first one is sent. */
     lateinit var socket: PeerSocket
@@ -157,7 +152,7 @@
     ): Boolean {
         val owner = ownerOrNull(targetId) ?: return false
         if (ownership.isSelf(owner)) {
-            onLocalAnswer(ownerReply(request, targetId).toAnswer())
+            onLocalAnswer(ownedCopies.replyTo(request, targetId).toAnswer())
         } else {
             send(owner.host, wants = listOf(request))
         }
@@ -190,7 +185,7 @@
         val targetId = target.entry.targetId
         copyRequests.onReady(targetId, copy)
         planner.onReady(targetId, copy)
-        readyWaiters.remove(targetId to copy)?.forEach { (host, number) ->
+        ownedCopies.takeWaiters(targetId, copy).forEach { (host, number) ->
             send(host, replies = listOf(CopyReplyMessage(number, readyInMillis = 0, targetId = targetId.value)))
         }
     }
@@ -263,25 +258,7 @@
             )
             return null
         }
-        val targetId = request.targetId.takeIf(::isIdentifier)?.let(::TargetId) ?: return null
-        val reply = ownerReply(request, targetId)
-        if (reply.readyInMillis > 0) {
-            val copy = copyNameOrNull(request.modelId, request.adapterId) ?: return null
-            readyWaiters.getOrPut(targetId to copy) { HashMap() }[senderHost] = request.number
-        }
-        return reply
-    }
-
-    private fun ownerReply(request: CopyRequestMessage, targetId: TargetId): CopyReplyMessage {
-        val copy = copyNameOrNull(request.modelId, request.adapterId)
-            ?: return CopyReplyMessage(request.number, DECLINED, "malformed")
-        val victims = request.victims.filter(::isIdentifier).map(::ModelId)
-        return when (val result = engines.request(targetId, copy, victims)) {
-            null -> CopyReplyMessage(request.number, DECLINED, "not_owner")
-            CopyRequestResult.Ready -> CopyReplyMessage(request.number, readyInMillis = 0, targetId = targetId.value)
-            is CopyRequestResult.Pending -> CopyReplyMessage(request.number, result.readyInMillis.coerceAtLeast(1))
-            is CopyRequestResult.Declined -> CopyReplyMessage(request.number, DECLINED, result.reason.name.lowercase())
-        }
+        return ownedCopies.onPeerRequest(request, senderHost)
     }
 
     private fun send(
@@ -320,32 +297,3 @@
         socket.send(host, datagram)
     }
 }
-
-private fun copyNameOrNull(modelId: String, adapterId: String): CopyName? {
-    if (!isIdentifier(modelId) || (adapterId.isNotEmpty() && !isIdentifier(adapterId))) return null
-    return CopyName(ModelId(modelId), adapterId.takeIf { it.isNotEmpty() }?.let(::AdapterId))
-}
-
-private fun CopyLocationMessage.copyOrNull(): CopyName? =
-    if (isIdentifier(targetId)) copyNameOrNull(modelId, adapterId) else null
-
-private fun CopyName.toRequestMessage(number: Long, targetId: TargetId, victims: List<ModelId>): CopyRequestMessage =
-    CopyRequestMessage(
-        number = number,
-        targetId = targetId.value,
-        modelId = modelId.value,
-        adapterId = adapterId?.value.orEmpty(),
-        victims = victims.map { it.value },
-    )
-
-private fun CopyName.toLocationMessage(targetId: TargetId): CopyLocationMessage =
-    CopyLocationMessage(targetId.value, modelId.value, adapterId?.value.orEmpty())
-
-private fun CopyName.toDemandMessage(service: ServiceName, arrived: ArrivedRequests): DemandMessage =
-    DemandMessage(service.value, modelId.value, arrived.count, adapterId?.value.orEmpty(), arrived.promptTokens)
-
-private fun CopyReplyMessage.toAnswer(): CopyAnswer =
-    CopyAnswer(number, readyInMillis.takeIf { it >= 0 }, targetId.takeIf(::isIdentifier)?.let(::TargetId), reason)
-
-private fun CopyAnswer.toMessage(): CopyReplyMessage =
-    CopyReplyMessage(number, readyInMillis ?: DECLINED, reason, targetId?.value.orEmpty())
