Give orders a connection of their own, and let no attempt come twice on one

What callers saw: nothing yet; the same cause elsewhere. Reproduced on the current program: a caller got an earlier 200 for the second request with the same id on a connection, and for a request without an id.

Orders, and requests whose caller sends no id, are sent on a connection that is opened for them and closed after their answer; reports share connections, for a late one is only older than it should be.

An attempt that was answered on a connection is not sent on it again, whatever the answer; before, only failures counted. Each connection carries 64 attempts at most. An answer without an id that follows one to another attempt isn't due, though no other answer has counted yet. A value such as 'HTTP/1.1 192.168.0.1:80' is no status line.

Tests: RepeatedOrderTest replaces RepeatedReportTest (the repeated answer that would be taken is that of an order now; a third case asks for the connections).

--- a/core/src/main/kotlin/org/banyanturn/core/delivery/AnswerHead.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/AnswerHead.kt
@@ -52,4 +52,4 @@
 private const val TRANSFER_ENCODING = "transfer-encoding"
 private val FRAMING_FIELDS = setOf(CONTENT_LENGTH, TRANSFER_ENCODING)
 private const val PROTOCOL = "HTTP/"
-private val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d{3}""")
+private val STATUS_LINE = Regex("""HTTP/\d\.\d[ \t]+\d{3}(?!\S)""")
--- a/core/src/test/kotlin/org/banyanturn/core/delivery/AnswerHeadTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/delivery/AnswerHeadTest.kt
@@ -70,7 +70,7 @@
 
     @Test
     fun `a field that names a protocol is no fault`() {
-        assertNull(head("Via" to "1.1 cache", "Server" to "HTTP/1.1", "Upgrade" to "HTTP/2.0, h2c").fault())
+        assertNull(head("Via" to "HTTP/1.1 192.168.0.1:80", "Upgrade" to "HTTP/2.0, h2c").fault())
         assertNull(head(reason = "").fault())
     }
 
--- a/core/src/test/kotlin/org/banyanturn/core/delivery/ConnectionAnswersTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/delivery/ConnectionAnswersTest.kt
@@ -15,7 +15,7 @@
 @OptIn(ExperimentalKotest::class)
 class ConnectionAnswersTest {
     private val fresh = ConnectionAnswers()
-    private val used = fresh.answered("a", isSuccess = false)
+    private val used = fresh.answered("a")
 
     @Test
     fun `an answer with the id of another attempt is never due`() {
@@ -30,27 +30,26 @@
     fun `an answer without an id is due only as the first one of its connection`() {
         assertTrue(fresh.isDue("b", answeredId = null))
         assertFalse(used.isDue("b", answeredId = null))
-        assertFalse(fresh.answered("a", isSuccess = true).isDue("b", answeredId = null))
+        assertFalse(fresh.answered("a").isDue("b", answeredId = null))
         assertTrue(used.isDue(attemptId = null, answeredId = null))
     }
 
     @Test
-    fun `an attempt that failed on a connection is not sent on it again`() {
+    fun `an attempt that was answered on a connection is not sent on it again, whatever the answer`() {
         assertFalse(used.mayCarry("a"))
         assertTrue(used.mayCarry("b"))
         assertTrue(used.mayCarry(null))
-        assertTrue(fresh.answered("a", isSuccess = true).mayCarry("b"))
+        assertFalse(used.answered("b").mayCarry("a"))
     }
 
     @Test
     fun `a connection with bytes that belong to no answer carries nothing more, whatever comes next`() = runTest {
-        checkAll(PropTestConfig(seed = 44L), Arb.list(Arb.int(0..4), 0..20), Arb.int(1..500)) { events, byteCount ->
+        checkAll(PropTestConfig(seed = 44L), Arb.list(Arb.int(0..3), 0..20), Arb.int(1..500)) { events, byteCount ->
             val dirty = events.fold(fresh.receivedOutside(byteCount)) { answers, event ->
                 when (event) {
-                    0 -> answers.answered("a", isSuccess = true)
-                    1 -> answers.answered("b", isSuccess = false)
-                    2 -> answers.answered(attemptId = null, isSuccess = true)
-                    else -> answers.receivedOutside(event - 3)
+                    0 -> answers.answered("a")
+                    1 -> answers.answered(attemptId = null)
+                    else -> answers.receivedOutside(event - 2)
                 }
             }
             assertFalse(dirty.isClean)
@@ -59,13 +58,9 @@
     }
 
     @Test
-    fun `a connection carries a second call without an id only if its server answers each call once`() {
-        val answeredWithoutId = used.answered(attemptId = null, isSuccess = true)
-        assertTrue(used.mayCarry(attemptId = null))
-        assertFalse(answeredWithoutId.mayCarry(attemptId = null))
-        assertTrue(answeredWithoutId.mayCarry(attemptId = null, answersOnce = true))
-        assertTrue(answeredWithoutId.mayCarry("b"))
-        assertFalse(answeredWithoutId.isDue("b", answeredId = null))
+    fun `an answer without an id behind one to another attempt is not due, even as the first that counts`() {
+        assertFalse(fresh.receivedOutside(80).isDue("b", answeredId = null))
+        assertTrue(fresh.receivedOutside(80).isDue("b", answeredId = "b"))
     }
 
     @Test
@@ -75,8 +70,8 @@
     }
 
     @Test
-    fun `a connection with many failed attempts carries no more`() {
-        val worn = (1..64).fold(fresh) { answers, number -> answers.answered("a$number", isSuccess = false) }
+    fun `a connection with many answered attempts carries no more`() {
+        val worn = (1..64).fold(fresh) { answers, number -> answers.answered("a$number") }
         assertFalse(worn.mayCarry("b"))
         assertFalse(worn.mayCarry(null))
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -116,8 +116,7 @@
         boot.answerLimits,
         unsolicitedBytesListener = UnsolicitedBytesLog(log, metrics),
     )
-    private val exchanges = PooledHttpExchanges(connectionPool, answersOnce = true)
-    private val targetExchanges = PooledHttpExchanges(connectionPool, answersOnce = false)
+    private val exchanges = PooledHttpExchanges(connectionPool)
     private val store = HostedStore(boot.storeAddress, exchanges)
     private val ownership = Ownership(
         group = store.ownershipGroup(
@@ -160,7 +159,7 @@
         settings = OwnedEngineSettings(takeoverMillis = boot.bounds.orderLeaseMillis + TAKEOVER_MARGIN_MILLIS),
         ownership = ownership,
         view = view,
-        orders = EngineOrders(targetExchanges, ORDER_TIMEOUT_MILLIS, environment.notices),
+        orders = EngineOrders(exchanges, ORDER_TIMEOUT_MILLIS, environment.notices),
         scope = scope,
         clock = clock,
         log = log,
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
@@ -25,14 +25,8 @@
  * Makes HTTP calls with short responses over the connections of [connectionPool].
  *
  * Not thread-safe: used on the event loop of the pool only.
- *
- * @property answersOnce whether the servers are known to write each answer once, since these calls have no id that
- * tells a second one from the next.
  */
-internal class PooledHttpExchanges(
-    private val connectionPool: TargetConnectionPool,
-    private val answersOnce: Boolean,
-) : HttpExchanges {
+internal class PooledHttpExchanges(private val connectionPool: TargetConnectionPool) : HttpExchanges {
     override suspend fun call(
         address: SocketAddressText,
         call: HttpExchangeCall,
@@ -40,7 +34,7 @@
         val collector = ReplyCollector(call.maxReplyBytes)
         val request = toRequest(address, call)
         val attempt =
-            connectionPool.send(address, request, attemptId = null, collector, answersOnce = answersOnce)
+            connectionPool.send(address, request, attemptId = null, collector, isAlone = call.needsOwnConnection)
         collector.onTooLong = attempt::cancel
         val result = withTimeoutOrNull(call.timeoutMillis) { collector.result.await() }
         if (result != null) return result
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnection.kt
@@ -26,7 +26,6 @@
 
 private const val STATUS_CONTINUE = 100
 private const val FIRST_FINAL_STATUS = 200
-private val SUCCESS = 200..299
 
 /**
  * Handles a connection to a target, which carries one attempt at a time.
@@ -54,7 +53,7 @@
     private var failureCause: Throwable? = null
     private var receivedBytes = 0L
 
-    /** Counts the bytes of the answer; stands before the codec. */
+    /** Counts the bytes of the answer and drops those that nothing waits for; stands before the decoder. */
     val byteCounter: ChannelInboundHandler = ByteCounter()
 
     /** The time at which the connection became idle, on the clock of the pool. */
@@ -67,8 +66,8 @@
     val isUsable: Boolean
         get() = channel.isActive && listener == null && mayReuse
 
-    /** Returns whether an attempt with [id] may be sent on this connection; see [ConnectionAnswers.mayCarry]. */
-    fun mayCarry(id: String?, answersOnce: Boolean = false): Boolean = answers.mayCarry(id, answersOnce)
+    /** Returns whether an attempt with [id], or without an id if it is `null`, may be sent on this connection. */
+    fun mayCarry(id: String?): Boolean = answers.mayCarry(id)
 
     /**
      * Sends [request]; [newListener] receives the response or the failure.
@@ -141,6 +140,7 @@
             andThen()
         }
 
+        /** Closes the connection, which may be closing already, since its attempt was cancelled. */
         private fun closeUnsolicited(byteCount: Int) {
             if (mayReuse) receiveOutside(UnsolicitedPlace.IDLE, byteCount)
             close()
@@ -156,6 +156,11 @@
         close()
     }
 
+    /** Lets the connection be closed after its next answer. */
+    fun preventReuse() {
+        mayReuse = false
+    }
+
     /** Closes the connection and prevents its reuse. */
     fun close() {
         mayReuse = false
@@ -189,16 +194,17 @@
         }
         framing = framingOf(response)
         if (!HttpUtil.isKeepAlive(response) || !hasExplicitFraming(response)) mayReuse = false
-        val headers = readTargetAnswerHeaders(code, response.headers())
-        if (!answers.isDue(attemptId, headers.attemptId)) return skipResponse()
+        val answeredId = readTargetAnswerHeaders(code, response.headers()).attemptId
+        if (!answers.isDue(attemptId, answeredId)) return skipResponse()
         responseState = ResponseState.MATCHED
-        answers = answers.answered(attemptId, isSuccess = code in SUCCESS && headers.isSigned)
+        answers = answers.answered(attemptId)
         listener?.onHead(response)
     }
 
     /** Discards a response to another attempt; what follows the head of one is unknown while HEAD is answered. */
     private fun skipResponse() {
         responseState = ResponseState.UNMATCHED
+        receiveOutside(UnsolicitedPlace.BEFORE_ANSWER, receivedBytes.toInt())
         mayReuse = false
         if (decoder.isHeadRequest) fail(AttemptFailureKind.MALFORMED, "an answer to another request")
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
@@ -84,7 +84,7 @@
      * Sends [request], which is released, to [address]; [listener] receives the response or the failure.
      *
      * @param attemptId the attempt id that the response must carry, or `null` if the request has none.
-     * @param answersOnce whether the server is known to write each answer once.
+     * @param isAlone whether the request has a connection of its own, since nothing tells its answer from others.
      */
     fun send(
         address: SocketAddressText,
@@ -92,24 +92,24 @@
         attemptId: String?,
         listener: AttemptListener,
         maxIdleMillis: Long = settings.maxIdleMillis,
-        answersOnce: Boolean = false,
+        isAlone: Boolean = false,
     ): TargetAttempt {
-        val pooled = takeIdleOrNull(address, maxIdleMillis) { it.mayCarry(attemptId, answersOnce) }
+        val pooled = if (isAlone) null else takeIdleOrNull(address, attemptId, maxIdleMillis)
         if (pooled != null) return pooled.send(request, attemptId, listener)
-        return PendingAttempt(address, request, attemptId, listener).also { it.connect() }
+        return PendingAttempt(address, request, attemptId, listener, isAlone).also { it.connect() }
     }
 
     private fun takeIdleOrNull(
         address: SocketAddressText,
+        attemptId: String?,
         maxIdleMillis: Long,
-        isSuitable: (TargetConnection) -> Boolean,
     ): TargetConnection? {
         val connections = idle[address] ?: return null
         connections.filterNot { it.isUsable && isFresh(it, maxIdleMillis) }.forEach { stale ->
             connections -= stale
             stale.close()
         }
-        return connections.lastOrNull(isSuitable)?.also { connections -= it }
+        return connections.lastOrNull { it.mayCarry(attemptId) }?.also { connections -= it }
     }
 
     private fun isFresh(connection: TargetConnection, maxIdleMillis: Long): Boolean {
@@ -149,6 +149,7 @@
         private val request: FullHttpRequest,
         private val attemptId: String?,
         private val listener: AttemptListener,
+        private val isAlone: Boolean,
     ) : TargetAttempt {
         private var connecting: ChannelFuture? = null
         private var sentAttempt: TargetAttempt? = null
@@ -202,6 +203,7 @@
                 request.release()
                 return release(address, connection)
             }
+            if (isAlone) connection.preventReuse()
             sentAttempt = connection.send(request, attemptId, listener)
         }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/UnsolicitedBytes.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/UnsolicitedBytes.kt
@@ -9,6 +9,9 @@
 
     /** While no attempt waited for a response. */
     IDLE,
+
+    /** With the head of a response to another attempt, while one waited for its own. */
+    BEFORE_ANSWER,
 }
 
 /** Learns of bytes that targets sent although no response was due. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -212,7 +212,15 @@
         currentAttempt = attempt
         val maxIdleMillis =
             if (route.isRetryable) RequestTimings.RETRYABLE_IDLE_MILLIS else RequestTimings.ONCE_IDLE_MILLIS
-        attempt.begin(environment.connectionPool.send(target.socketAddress, request, callerId, attempt, maxIdleMillis))
+        val started = environment.connectionPool.send(
+            target.socketAddress,
+            request,
+            callerId,
+            attempt,
+            maxIdleMillis,
+            isAlone = callerId == null,
+        )
+        attempt.begin(started)
     }
 
     private fun requestTo(target: KnownTarget): FullHttpRequest {
--- a/entry/src/test/kotlin/org/banyanturn/entry/RepeatedRefusalTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/RepeatedRefusalTest.kt
@@ -38,6 +38,9 @@
     private fun done(attemptId: String): String =
         "HTTP/1.1 200 OK\r\nAttempt-Id: $attemptId\r\nServer-Seal: s\r\nContent-Length: 4\r\n\r\ndone"
 
+    private fun failed(attemptId: String): String =
+        "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: $attemptId\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n"
+
     /** Runs every request but the first, and writes [repeated] before each answer on a kept connection. */
     private fun refuseFirstAndRepeat(repeated: String) = startWith { request ->
         if (arrivals.incrementAndGet() == 1) {
@@ -63,6 +66,17 @@
         assertEquals("done", book("b-1").body())
     }
 
+    @Test
+    fun `an earlier success of the same attempt is not the answer when the target runs it once more`() {
+        startWith { request ->
+            val number = arrivals.incrementAndGet()
+            val earlier = if (request.isOnKeptConnection) done(request.attemptId) else ""
+            ScriptedAnswer(earlier + if (number == 1) done(request.attemptId) else failed(request.attemptId))
+        }
+        assertEquals(200, book("b-1").statusCode())
+        assertEquals(500, book("b-1").statusCode())
+    }
+
     @Test
     fun `an earlier refusal of another attempt is discarded`() {
         refuseFirstAndRepeat(refusal(attemptId = "b-1"))
--- a/entry/src/test/kotlin/org/banyanturn/entry/UnfinishedAnswerTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/UnfinishedAnswerTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.net.http.HttpResponse
@@ -53,8 +54,10 @@
         assertEquals("done", send(path, "first$path").body())
         Thread.sleep(IDLE_MILLIS)
         val second = send(path, "second$path")
-        assertTrue(second.statusCode() >= 500, "$path: the target failed, the caller got ${second.statusCode()}")
-        assertTrue(target.requests.any { it.attemptId == "second$path" }, "$path: the target got the request")
+        assertEquals("500 failed", "${second.statusCode()} ${second.body()}", "$path: what the target answered")
+        val received = target.requests.filter { it.attemptId == "second$path" }
+        assertTrue(received.isNotEmpty(), "$path: the target got the request")
+        assertFalse(received.first().isOnKeptConnection, "$path: the connection is not used again")
     }
 
     @Test
--- a/entry/src/test/kotlin/org/banyanturn/entry/http/RepeatedReportTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/http/RepeatedOrderTest.kt
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withContext
 import org.banyanturn.daemon.processClock
 import org.banyanturn.entry.ReceivedRequest
 import org.banyanturn.entry.ScriptedAnswer
@@ -17,7 +16,7 @@
 import org.junit.jupiter.api.Test
 
 /** Guards against an earlier answer without an id that is written once more and taken for the next one. */
-class RepeatedReportTest {
+class RepeatedOrderTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val pool = TargetConnectionPool(loop, processClock())
@@ -39,38 +38,42 @@
         return earlier
     }
 
-    private fun answersOf(calls: Int, answersOnce: Boolean): List<String?> = runBlocking {
-        val exchanges = PooledHttpExchanges(pool, answersOnce)
-        val address = SocketAddressText("127.0.0.1", target.port)
-        withContext(loop.asCoroutineDispatcher()) {
+    private fun answersOf(calls: Int, needsOwnConnection: Boolean): List<String?> =
+        runBlocking(loop.asCoroutineDispatcher()) {
+            val exchanges = PooledHttpExchanges(pool)
+            val address = SocketAddressText("127.0.0.1", target.port)
             List(calls) { number ->
-                val call = HttpExchangeCall("GET", "/report/$number", timeoutMillis = 2_000)
+                val call = HttpExchangeCall(
+                    "POST",
+                    "/order/$number",
+                    timeoutMillis = TIMEOUT_MILLIS,
+                    needsOwnConnection = needsOwnConnection,
+                )
                 exchanges.call(address, call).get()?.body?.decodeToString()
             }
         }
+
+    @Test
+    fun `the answer to an order that is written once more is not taken for that to the next order`() {
+        assertEquals(List(CALLS) { "/order/$it" }, answersOf(CALLS, needsOwnConnection = true))
+        assertEquals(CALLS, target.openedConnections.get())
     }
 
     @Test
-    fun `a report that is written once more is not taken for the next one`() {
-        assertEquals(List(CALLS) { "/report/$it" }, answersOf(CALLS, answersOnce = false))
+    fun `an order is not sent on a connection that has brought an answer without an id`() {
+        answersOf(1, needsOwnConnection = false)
+        assertEquals(listOf("/order/0"), answersOf(1, needsOwnConnection = true))
+        assertEquals(2, target.openedConnections.get())
     }
 
     @Test
-    fun `calls to a server that answers each call once share a connection`() {
-        val sound = ScriptedTarget { ScriptedAnswer(answer(it.path)) }
-        sound.use {
-            val address = SocketAddressText("127.0.0.1", sound.port)
-            val exchanges = PooledHttpExchanges(pool, answersOnce = true)
-            runBlocking(loop.asCoroutineDispatcher()) {
-                repeat(CALLS) {
-                    exchanges.call(address, HttpExchangeCall("GET", "/log/$it", timeoutMillis = 2_000))
-                }
-            }
-            assertEquals(1, sound.openedConnections.get())
-        }
+    fun `calls without effects share a connection`() {
+        answersOf(CALLS, needsOwnConnection = false)
+        assertEquals(1, target.openedConnections.get())
     }
 
     private companion object {
         const val CALLS = 4
+        const val TIMEOUT_MILLIS = 2_000L
     }
 }
