Process what a caller sends in the order in which it came

Cause: endExchange set `exchange` to null and left the queue to a task that ran later. Until then channelRead took the connection for idle: a request was processed ahead of those queued, a body part was dropped. The state of a connection was spread over two places. In the same class of fault: requests behind a 413 or 400, behind `Connection: close`, or on a closed connection were passed on; closeIfIdle and closeIfOverdue closed a connection whose next request was received and queued; the codec closes a connection with more than 128 unanswered requests.

Change: all parts pass through one queue (RequestPartQueue), which stands still while an exchange is open and is dropped once the connection ends. Reading stops while it holds 128 KiB or more, one read at most above it, instead of the codec's bound. A caller that sends that much ahead and then leaves is noticed only once its queue has shrunk; others as before.

Ruled out: processing the queue inside endExchange. It would start a request while the waiting ones are gone through, as in WaitQueue.refuseAll.

--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
@@ -37,11 +37,11 @@
 /**
  * Handles a caller's connection: reads each request completely and passes it to [CallerConnectionContext.onRequest].
  *
- * Pipelined requests are queued until the response to the previous request has ended.
+ * All that is received passes through one queue, which stands still while a request has no complete response.
  */
 internal class CallerConnection(private val shared: CallerConnectionContext) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
-    private val pipelined = ArrayDeque<HttpObject>()
+    private val received = RequestPartQueue()
     private var head: HttpRequest? = null
     private var body: CompositeByteBuf? = null
     private var headAtMillis = 0L
@@ -49,9 +49,15 @@
     private var lastActiveMillis = 0L
     private var firstByteMillis: Long? = null
 
-    /** Whether a request is being read or processed. */
+    /** Whether the connection is closed once what was written has been sent; nothing is processed any more. */
+    private var isEnding = false
+
+    /** Whether a request is being read or processed, or waits for the response to the one before it. */
     val isBusy: Boolean
-        get() = exchange != null || head != null
+        get() = exchange != null || head != null || !received.isEmpty
+
+    private val canProcess: Boolean
+        get() = exchange == null && !isEnding && context.channel().isActive
 
     override fun handlerAdded(handlerContext: ChannelHandlerContext) {
         context = handlerContext
@@ -63,24 +69,28 @@
         shared.connections -= this
         exchange?.onCallerGone()
         exchange = null
-        pipelined.forEach(ReferenceCountUtil::release)
-        pipelined.clear()
-        body?.release()
-        body = null
+        stopProcessing()
     }
 
     /** Records the arrival of the first bytes of a request, which may be an incomplete head. */
     fun onBytesReceived() {
-        if (!isBusy && firstByteMillis == null) firstByteMillis = shared.clock.nowMillis()
+        if (isBusy || isEnding || firstByteMillis != null) return
+        firstByteMillis = shared.clock.nowMillis()
     }
 
     override fun channelRead(handlerContext: ChannelHandlerContext, message: Any) {
-        val part = message as HttpObject
-        if (exchange != null) {
-            pipelined.addLast(part)
+        if (isEnding || !handlerContext.channel().isActive) {
+            ReferenceCountUtil.release(message)
             return
         }
-        process(part)
+        received.add(message as HttpObject)
+        processReceived()
+    }
+
+    /** Processes what was received, in its order, up to the end of the next request that has no response yet. */
+    private fun processReceived() {
+        while (canProcess && !received.isEmpty) process(received.removeFirst())
+        context.channel().config().isAutoRead = !received.isFull
     }
 
     private fun process(part: HttpObject) {
@@ -128,21 +138,25 @@
     private fun endExchange(keepConnection: Boolean) {
         exchange = null
         lastActiveMillis = shared.clock.nowMillis()
-        if (!keepConnection) {
-            context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        if (keepConnection) {
+            context.executor().execute(::processReceived)
             return
         }
-        context.executor().execute(::processPipelined)
+        stopProcessing()
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private fun processPipelined() {
-        while (exchange == null && pipelined.isNotEmpty()) process(pipelined.removeFirst())
-    }
-
-    private fun rejectAndClose(status: HttpResponseStatus) {
+    private fun stopProcessing() {
+        isEnding = true
+        firstByteMillis = null
         head = null
         body?.release()
         body = null
+        received.releaseAll()
+    }
+
+    private fun rejectAndClose(status: HttpResponseStatus) {
+        stopProcessing()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
@@ -158,7 +172,7 @@
         val limits = shared.limits()
         val headStartMillis = firstByteMillis
         when {
-            exchange != null -> return
+            exchange != null || !received.isEmpty -> return
 
             headStartMillis != null && nowMillis - headStartMillis > limits.headerTimeoutMillis ->
                 rejectAndClose(HttpResponseStatus.REQUEST_TIMEOUT)
@@ -167,7 +181,7 @@
         }
     }
 
-    /** Closes the connection if no request is being read or processed. */
+    /** Closes the connection if no request is being read or processed, or waits to be. */
     fun closeIfIdle() {
         if (!isBusy) context.close()
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
@@ -27,6 +27,9 @@
 /** Upper bound on the head of any request, so that larger ones are rejected early; the configured limits are lower. */
 private const val MAX_HEADER_BYTES = 65_536
 
+/** No bound: the codec would close the connection, whereas [CallerConnection] stops reading. */
+private const val MAX_REQUESTS_IN_CODEC = Int.MAX_VALUE
+
 /** Listens for connections of callers at [address] and returns the listening channel. */
 internal fun listenForCallers(
     group: EventLoopGroup,
@@ -37,17 +40,23 @@
         .childHandler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    val connection = CallerConnection(shared)
-                    val config = HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES)
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                    channel.pipeline().addLast(FirstByteHandler(connection))
-                    channel.pipeline().addLast(HttpServerCodec(config))
-                    channel.pipeline().addLast(connection)
+                    addCallerConnection(channel, shared)
                 }
             },
         )
         .bind(address.host, address.port).sync().channel()
 
+/** Adds the handlers of a caller's connection to the pipeline of [channel]. */
+internal fun addCallerConnection(channel: Channel, shared: CallerConnectionContext) {
+    val connection = CallerConnection(shared)
+    val config = HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEADER_BYTES)
+    channel.pipeline().addLast(FirstByteHandler(connection))
+    channel.pipeline().addLast(HttpServerCodec(config, MAX_REQUESTS_IN_CODEC))
+    channel.pipeline().addLast(connection)
+}
+
 private class FirstByteHandler(private val connection: CallerConnection) : ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         connection.onBytesReceived()
