Answer the requests that were received before a stopping process closes

What callers would see: a process that stops answered one request with `Connection: close` and dropped those that it had received behind it, or ended between two of them (LOST).

Cause: whether a connection is kept was decided without its queue, and an exchange counted as ended before the next one had begun, so that the shutdown could see no open request.

Change: the last received request bears the close, and an exchange counts as open until the next one has begun. A streamed response is kept only if its head said so.

Evidence: both new tests fail without the change, pass with it. By reading and in tests without sockets; no run of a process that stops has shown the loss. A caller that goes on sending ahead keeps a stopping process busy until its limit, with refusals.

--- a/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/Shutdown.kt
@@ -68,7 +68,7 @@
     }
 
     private fun end(requestId: RequestId) {
-        val exchange = openExchanges[requestId] ?: return
+        val exchange = openExchanges[requestId]?.takeUnless { it.hasEnded } ?: return
         exchange.listener?.onShutdownDeadline()
         exchange.abort()
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerConnection.kt
@@ -23,7 +23,7 @@
 /**
  * Holds what all connections of callers share.
  *
- * @property isClosing whether the process is shutting down, so that connections are closed after their response.
+ * @property isClosing whether the process is shutting down, so that connections are closed after their last response.
  * @property connections the open connections.
  */
 internal class CallerConnectionContext(
@@ -130,20 +130,33 @@
         head = null
         body = null
         val newExchange =
-            CallerExchange(context.channel(), request, receivedBody, headAtMillis, shared.isClosing, ::endExchange)
+            CallerExchange(context.channel(), request, receivedBody, headAtMillis, ::closesAfterResponse, ::endExchange)
         exchange = newExchange
         shared.onRequest(newExchange)
     }
 
-    private fun endExchange(keepConnection: Boolean) {
+    /** Whether the connection is closed after the open exchange; what was received is answered before. */
+    private fun closesAfterResponse(): Boolean = shared.isClosing() && received.isEmpty
+
+    private fun endExchange(ended: CallerExchange, keepConnection: Boolean) {
         exchange = null
         lastActiveMillis = shared.clock.nowMillis()
         if (keepConnection) {
-            context.executor().execute(::processReceived)
+            context.executor().execute { continueAfter(ended) }
             return
         }
         stopProcessing()
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+        ended.onExchangeEnd()
+    }
+
+    /** Goes on behind [ended], which counts as open until the next request has begun. */
+    private fun continueAfter(ended: CallerExchange) {
+        try {
+            processReceived()
+        } finally {
+            ended.onExchangeEnd()
+        }
     }
 
     private fun stopProcessing() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/CallerExchange.kt
@@ -36,6 +36,8 @@
  * @property head the head of the request.
  * @property body the complete body of the request; released when the exchange ends.
  * @property arrivedAtMillis the time at which the head was complete.
+ * @param isClosing whether the connection is closed after the response although the caller wants to keep it.
+ * @param onEnded called when the response is complete or was given up; calls [onExchangeEnd] in its turn.
  */
 internal class CallerExchange(
     private val channel: Channel,
@@ -43,11 +45,12 @@
     val body: ByteBuf,
     val arrivedAtMillis: Long,
     private val isClosing: () -> Boolean,
-    private val onEnded: (keepConnection: Boolean) -> Unit,
+    private val onEnded: (ended: CallerExchange, keepConnection: Boolean) -> Unit,
 ) {
     private val keepsConnection = HttpUtil.isKeepAlive(head)
     private var hasStarted = false
     private var isChunked = false
+    private var isKept = false
 
     /** Whether the exchange has ended, with a complete response or without. */
     var hasEnded = false
@@ -99,7 +102,7 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
         isChunked = head.protocolVersion() != HttpVersion.HTTP_1_0 && head.method() != HttpMethod.HEAD
         if (isChunked) headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        prepareConnection(headers)
+        isKept = prepareConnection(headers)
         channel.writeAndFlush(response)
     }
 
@@ -121,7 +124,7 @@
     fun finish() {
         if (hasEnded) return
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        end(keepsConnection && isChunked && !isClosing())
+        end(isKept && isChunked && !isClosing())
     }
 
     /**
@@ -154,8 +157,7 @@
     private fun end(isKept: Boolean) {
         hasEnded = true
         body.release()
-        onEnded(isKept)
-        onExchangeEnd()
+        onEnded(this, isKept)
     }
 }
 
--- a/entry/src/test/kotlin/org/banyanturn/entry/http/RequestSentAheadTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/http/RequestSentAheadTest.kt
@@ -78,6 +78,44 @@
         caller.closeAndCheckBuffers()
     }
 
+    @Test
+    fun `a process that stops answers the requests that it has received before it closes their connection`() {
+        val caller = CallerChannel()
+        caller.read(text(get("1")) + text(get("2")) + text(get("3")))
+        caller.isClosing = true
+        caller.answer(checkNotNull(caller.lastExchange))
+        caller.channel.runPendingTasks()
+        caller.answerInParts(checkNotNull(caller.lastExchange))
+        caller.channel.runPendingTasks()
+        assertTrue(caller.channel.isActive)
+        caller.answer(checkNotNull(caller.lastExchange))
+        caller.channel.runPendingTasks()
+        assertFalse(caller.channel.isActive)
+        val written = caller.takeWritten()
+        val ids = Regex("Attempt-Id: (.)").findAll(written).map { it.groupValues[1] }.toList()
+        assertEquals(listOf("1", "2", "3"), ids)
+        assertEquals(1, Regex("connection: close").findAll(written).count(), written)
+        assertTrue(written.indexOf("connection: close") > written.indexOf("Attempt-Id: 3"), written)
+        caller.closeAndCheckBuffers()
+    }
+
+    @Test
+    fun `an exchange counts as open until the next request that was received has begun`() {
+        val events = ArrayList<String>()
+        val caller = CallerChannel { exchange ->
+            val id = requests.last().id
+            events += "begin $id"
+            exchange.onExchangeEnd = { events += "end $id" }
+        }
+        caller.read(text(get("1")) + text(get("2")))
+        repeat(2) {
+            caller.answer(checkNotNull(caller.lastExchange))
+            caller.channel.runPendingTasks()
+        }
+        assertEquals(listOf("begin 1", "begin 2", "end 1", "end 2"), events)
+        caller.closeAndCheckBuffers()
+    }
+
     @Test
     fun `the header timeout does not run for requests that wait for an answer before theirs`() {
         val caller = CallerChannel()
