Write responses to long polls in the order of the requests

What a peer would see: the response to another of its polls, if it sent them ahead on one connection. Our own clients don't, so nobody has.

Cause: SmallRequestHandler wrote each response as soon as it was ready.

Change: responses wait for those to requests before them. Without it LongPollSentAheadTest fails, with it it passes.

--- a/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/HttpServers.kt
@@ -88,22 +88,50 @@
         .childHandler(
             object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpServerCodec())
-                    channel.pipeline().addLast(HttpObjectAggregator(MAX_SMALL_BODY_BYTES))
-                    channel.pipeline().addLast(SmallRequestHandler(handle))
+                    addSmallRequestHandlers(channel, handle)
                 }
             },
         )
         .bind(address.host, address.port).sync().channel()
 
+/** Adds the handlers of a connection for small requests and long polls to the pipeline of [channel]. */
+internal fun addSmallRequestHandlers(
+    channel: Channel,
+    handle: (FullHttpRequest, respond: (SmallResponse) -> Unit) -> Unit,
+) {
+    channel.pipeline().addLast(HttpServerCodec())
+    channel.pipeline().addLast(HttpObjectAggregator(MAX_SMALL_BODY_BYTES))
+    channel.pipeline().addLast(SmallRequestHandler(handle))
+}
+
+/** A request that was received, and its response as soon as there is one. */
+private class PendingResponse {
+    var response: SmallResponse? = null
+}
+
+/** Passes requests on as they come, and writes their responses in the order of the requests. */
 private class SmallRequestHandler(
     private val handle: (FullHttpRequest, respond: (SmallResponse) -> Unit) -> Unit,
 ) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private val pending = ArrayDeque<PendingResponse>()
+
     override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-        handle(request) { respond(context, it) }
+        val slot = PendingResponse().also(pending::addLast)
+        handle(request) { response ->
+            slot.response = response
+            writeReady(context)
+        }
+    }
+
+    private fun writeReady(context: ChannelHandlerContext) {
+        while (true) {
+            val response = pending.firstOrNull()?.response ?: return
+            pending.removeFirst()
+            write(context, response)
+        }
     }
 
-    private fun respond(context: ChannelHandlerContext, reply: SmallResponse) {
+    private fun write(context: ChannelHandlerContext, reply: SmallResponse) {
         val content = Unpooled.wrappedBuffer(reply.content)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status, content)
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType)
