--- a/entry/src/test/kotlin/org/banyanturn/entry/http/RepeatedOrderTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/http/RepeatedOrderTest.kt
@@ -38,10 +38,14 @@
         return earlier
     }
 
-    private fun answersOf(calls: Int, needsOwnConnection: Boolean): List<String?> =
+    private fun answersOf(
+        calls: Int,
+        needsOwnConnection: Boolean,
+        server: ScriptedTarget = target,
+    ): List<String?> =
         runBlocking(loop.asCoroutineDispatcher()) {
             val exchanges = PooledHttpExchanges(pool)
-            val address = SocketAddressText("127.0.0.1", target.port)
+            val address = SocketAddressText("127.0.0.1", server.port)
             List(calls) { number ->
                 val call = HttpExchangeCall(
                     "POST",
@@ -68,8 +72,11 @@
 
     @Test
     fun `calls without effects share a connection`() {
-        answersOf(CALLS, needsOwnConnection = false)
-        assertEquals(1, target.openedConnections.get())
+        ScriptedTarget { ScriptedAnswer(answer(it.path)) }.use { sound ->
+            val expected = List(CALLS) { "/order/$it" }
+            assertEquals(expected, answersOf(CALLS, needsOwnConnection = false, sound))
+            assertEquals(1, sound.openedConnections.get())
+        }
     }
 
     private companion object {
