--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -62,8 +62,7 @@
     private val demands = HashMap<ModelId, ModelDemand>()
     private val loads = LinkedHashMap<TargetId, PlannedLoad>()
     private val declinedUntilMillis = HashMap<TargetId, Long>()
-    private val misses = HashMap<ModelId, Int>()
-    private val lastMissMillis = HashMap<ModelId, Long>()
+    private val misses = HashMap<ModelId, MissRecord>()
     private val loadedAtMillis = HashMap<Pair<TargetId, ModelId>, Long>()
     private var firstRequestMillis: Long? = null
     private var prefillBudget: PrefillBudget? = null
@@ -92,13 +91,14 @@
 
     /** Records that a request for [modelId] found no copy. */
     public fun recordMiss(modelId: ModelId, nowMillis: Long) {
-        misses.merge(modelId, 1, Int::plus)
-        recordStillWaiting(modelId, nowMillis)
+        val earlier = misses[modelId] ?: MissRecord(count = 0, firstMillis = nowMillis, latestMillis = nowMillis)
+        misses[modelId] = earlier.copy(count = earlier.count + 1, latestMillis = nowMillis)
     }
 
     /** Records that a request that found no copy of [modelId] is still waiting. */
     public fun recordStillWaiting(modelId: ModelId, nowMillis: Long) {
-        lastMissMillis[modelId] = nowMillis
+        val earlier = misses[modelId] ?: MissRecord(count = 0, firstMillis = nowMillis, latestMillis = nowMillis)
+        misses[modelId] = earlier.copy(latestMillis = nowMillis)
     }
 
     /** Returns the estimated demand for [modelId] in requests per second. */
@@ -137,6 +137,10 @@
         return LoadExpectations(evaluator, storeLoadsRemainingMillis, settings.evictionMillis)
     }
 
+    /** Returns the requested models that no engine holds and that do not load yet, the longest waiting ones first. */
+    public fun waitingModels(engines: List<PlannedEngine>, spec: EngineSpec, nowMillis: Long): List<WaitingModel> =
+        evaluator(engines, spec, nowMillis).waitingModels()
+
     private fun evaluator(engines: List<PlannedEngine>, spec: EngineSpec, nowMillis: Long): PlacementEvaluator {
         removeExpired(nowMillis)
         val state = PlannerState(
@@ -144,7 +148,6 @@
             loads = loads,
             declinedEngines = declinedUntilMillis.keys,
             misses = misses,
-            recentlyMissedModels = lastMissMillis.keys,
             loadedAtMillis = loadedAtMillis,
             firstRequestMillis = firstRequestMillis,
             prefillBudget = prefillBudget,
@@ -164,7 +167,9 @@
         if (wasDeclined) {
             declinedUntilMillis[plan.targetId] = nowMillis + settings.declineBackoffMillis
         } else {
-            misses -= plan.modelId
+            misses.computeIfPresent(plan.modelId) { _, earlier ->
+                MissRecord(count = 0, firstMillis = earlier.latestMillis, latestMillis = earlier.latestMillis)
+            }
             loadedAtMillis[plan.targetId to plan.modelId] = nowMillis
         }
     }
@@ -175,7 +180,6 @@
                 2 * (it.expectedMillis - it.startedAtMillis) + LOST_LOAD_GRACE_MILLIS
         }
         declinedUntilMillis.values.removeIf { it <= nowMillis }
-        lastMissMillis.values.removeIf { nowMillis - it > settings.missWindowMillis }
         loadedAtMillis.values.removeIf { nowMillis - it > maxOf(settings.minResidenceMillis, settings.inUseMillis) }
     }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
@@ -64,7 +64,7 @@
     private fun computeGain(model: ModelSpec): Double {
         val count = copiesOf(model.modelId)
         val demandPerSecond = demandPerSecond(model.modelId)
-        if (count == 0) return demandPerSecond * (1 + settings.missWeight * (state.misses[model.modelId] ?: 0))
+        if (count == 0) return demandPerSecond * (1 + settings.missWeight * (state.misses[model.modelId]?.count ?: 0))
         val needed = neededCopies(model)
         return demandPerSecond * settings.replicaValue * (needed - count).coerceAtLeast(0) / needed
     }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
@@ -12,8 +12,7 @@
  * @property demands the demand estimates by model.
  * @property loads the running loads by engine.
  * @property declinedEngines the engines that declined a load recently.
- * @property misses the number of requests that found no copy since the model was loaded last.
- * @property recentlyMissedModels the models of which a recent request found no copy.
+ * @property misses the requests that found no copy, by model.
  * @property loadedAtMillis the times at which recently loaded copies became ready.
  * @property firstRequestMillis the time at which the first request arrived, or `null` before it.
  * @property prefillBudget the prefill budget of the engines, or `null` while it is not known.
@@ -22,8 +21,7 @@
     val demands: Map<ModelId, ModelDemand>,
     val loads: Map<TargetId, PlannedLoad>,
     val declinedEngines: Set<TargetId>,
-    val misses: Map<ModelId, Int>,
-    val recentlyMissedModels: Set<ModelId>,
+    val misses: Map<ModelId, MissRecord>,
     val loadedAtMillis: Map<Pair<TargetId, ModelId>, Long>,
     val firstRequestMillis: Long?,
     val prefillBudget: PrefillBudget?,
@@ -102,6 +100,25 @@
         return best?.plan
     }
 
+    /** Returns the requested models that no engine holds and that do not load yet, the longest waiting ones first. */
+    fun waitingModels(): List<WaitingModel> =
+        candidates.withIndex()
+            .filter { (_, model) -> values.copiesOf(model.modelId) == 0 }
+            .mapNotNull { (rank, model) -> waitingModelOrNull(model, rank) }
+            .sortedByDescending { it.waitingMillis }
+
+    private fun waitingModelOrNull(model: ModelSpec, rank: Int): WaitingModel? {
+        val misses = state.misses[model.modelId]?.takeIf { it.count > 0 } ?: return null
+        return WaitingModel(
+            modelId = model.modelId,
+            misses = misses.count,
+            waitingMillis = nowMillis - misses.firstMillis,
+            rank = rank,
+            hosts = hostsOf(model).size,
+            freeHosts = hostsOf(model).count { it.targetId in freeTargetIds },
+        )
+    }
+
     private fun hostsOf(model: ModelSpec): List<PlannedEngine> = hosts[model.modelId].orEmpty()
 
     private fun bestFromStoreOrNull(model: ModelSpec): LoadOption? {
@@ -175,11 +192,16 @@
      * A model that no request waits for and no engine holds is loaded only into free memory, unless no host caches it.
      */
     private fun mayEvictFor(model: ModelSpec, option: LoadOption): Boolean {
-        val isRequestedOrHeld = model.modelId in state.recentlyMissedModels || values.copiesOf(model.modelId) > 0
+        val isRequestedOrHeld = isRecentlyMissed(model.modelId) || values.copiesOf(model.modelId) > 0
         return (isRequestedOrHeld || model.modelId !in hosts) &&
             values.gainOf(model) >= option.victimsValue * minGainFactorOf(option.plan)
     }
 
+    private fun isRecentlyMissed(modelId: ModelId): Boolean {
+        val misses = state.misses[modelId] ?: return false
+        return nowMillis - misses.latestMillis <= settings.missWindowMillis
+    }
+
     private fun minGainFactorOf(plan: LoadPlan): Double =
         if (plan.isFromStore) settings.minGainFactor else settings.minHostGainFactor
 
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -179,6 +179,9 @@
 
     /** How many requests arrived, were served and were refused for each copy. */
     COPY_OUTCOMES(3013, Level.INFO, "requests for copies have arrived or ended"),
+
+    /** The requested models without a copy that have waited longest, and what their loads depend on. */
+    MODELS_WAITING(3014, Level.INFO, "requested models have no copy"),
 }
 
 /** Represents a named value of a logged event. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -253,8 +253,16 @@
     }
 
     /** Logs what this planner did since the last call; called about once a second. */
-    fun writeSummary(): Unit =
+    fun writeSummary() {
+        if (!planningLog.hasNews) return
+        planners.forEach { (service, planner) -> writeWaiting(service, planner) }
         planningLog.write(queued.size, running.size, fromStore = running.values.count { it.plan.isFromStore })
+    }
+
+    private fun writeWaiting(service: ServiceName, planner: ModelPlanner) {
+        val spec = view.catalog?.services?.get(service)?.engine ?: return
+        planningLog.writeWaiting(planner.waitingModels(enginesOf(service), spec, clock.nowMillis()))
+    }
 
     /** Resends unanswered orders, abandons failed loads and starts queued ones; called every few milliseconds. */
     fun tick() {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
@@ -1,5 +1,6 @@
 package org.banyanturn.entry.observe
 
+import org.banyanturn.core.placement.WaitingModel
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.daemon.logs.field
@@ -13,6 +14,10 @@
     private var requestMillis = 0L
     private var declined = 0
 
+    /** Whether this VM has planned or was asked for a model since the last lines. */
+    val hasNews: Boolean
+        get() = runs > 0 || requests > 0
+
     /** Runs and measures one planning run. */
     fun <T> measureRun(run: () -> T): T {
         val startMillis = clock.nowMillis()
@@ -46,7 +51,7 @@
      * @param fromStore how many of these loads come from the weight store.
      */
     fun write(queued: Int, running: Int, fromStore: Int) {
-        if (runs == 0 && requests == 0) return
+        if (!hasNews) return
         log.write(
             Event.PLANNING_SUMMARY,
             field("runs", runs),
@@ -66,4 +71,17 @@
         requestMillis = 0
         declined = 0
     }
+
+    /** Writes the models that have [waiting] requests but no copy, as many as fit into a line. */
+    fun writeWaiting(waiting: List<WaitingModel>) {
+        if (waiting.isEmpty()) return
+        val text = waiting.take(MAX_WAITING_PER_LINE)
+            .joinToString(",") { "${it.modelId}:${it.misses}/${it.waitingMillis}/${it.rank}/${it.hosts}/${it.freeHosts}" }
+        log.write(Event.MODELS_WAITING, field("count", waiting.size), field("models", text))
+    }
+
+    private companion object {
+        /** Keeps lines short enough for the collectors of logs. */
+        const val MAX_WAITING_PER_LINE = 30
+    }
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/observe/SummaryLogTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/observe/SummaryLogTest.kt
@@ -3,6 +3,7 @@
 import org.banyanturn.core.AdapterId
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.placement.WaitingModel
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.daemon.logs.Event
 import org.banyanturn.entry.CapturedLogLines
@@ -53,4 +54,14 @@
             ),
         )
     }
+
+    @Test
+    fun `models that wait for a copy are logged with what their loads depend on`() {
+        val planning = PlanningLog(clock, log)
+        val waiting = WaitingModel(ModelId("m3"), misses = 4, waitingMillis = 9_100, rank = 7, hosts = 2, freeHosts = 1)
+        planning.writeWaiting(emptyList())
+        assertFalse(lines.has(Event.MODELS_WAITING, ""))
+        planning.writeWaiting(listOf(waiting))
+        assertTrue(lines.has(Event.MODELS_WAITING, "count=1 models=m3:4/9100/7/2/1"))
+    }
 }
