Tell refused callers when the model is expected

Callers who could not wait for a model were told to come back after the time of one answer, about a second, although the planner had just said when the model is expected. The expected time is now their Retry-After, up to the share of their time limit that the cap leaves.

--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -192,9 +192,9 @@
         handle(RequestEvent.TargetChosen(target.entry.targetId))
     }
 
-    override fun onNoTarget() {
+    override fun onNoTarget(expectedInMillis: Long?) {
         isWaiting = false
-        refuseTemporarily("waited", latencies.fullResponseMillis())
+        refuseTemporarily("waited", expectedInMillis ?: latencies.fullResponseMillis())
     }
 
     private fun send(attemptId: AttemptId) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
@@ -16,8 +16,12 @@
     /** Called when the request has been removed from the queue to be sent to [target]. */
     fun onTarget(target: KnownTarget)
 
-    /** Called when the request has been removed from the queue without a target. */
-    fun onNoTarget()
+    /**
+     * Called when the request has been removed from the queue without a target.
+     *
+     * @param expectedInMillis the time until a target is expected, or `null` if that is not known.
+     */
+    fun onNoTarget(expectedInMillis: Long? = null)
 }
 
 /** Identifies the queue of the requests that wait for one copy, or for a service without copies. */
@@ -70,12 +74,13 @@
     }
 
     private fun refuseExpiringBefore(queue: FairQueue, atMillis: Long) {
-        queue.toList().filter { it.deadlineMillis < atMillis }.forEach { refuse(queue, it) }
+        val expectedInMillis = atMillis - clock.nowMillis()
+        queue.toList().filter { it.deadlineMillis < atMillis }.forEach { refuse(queue, it, expectedInMillis) }
     }
 
-    private fun refuse(queue: FairQueue, queued: QueuedRequest) {
+    private fun refuse(queue: FairQueue, queued: QueuedRequest, expectedInMillis: Long? = null) {
         queue.removeOrNull(queued.requestId)
-        requests.remove(queued.requestId)?.onNoTarget()
+        requests.remove(queued.requestId)?.onNoTarget(expectedInMillis)
     }
 
     /** Refuses all waiting requests. */
