--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/PlanningLog.kt
@@ -75,11 +75,13 @@
     /** Writes the models that have [waiting] requests but no copy, as many as fit into a line. */
     fun writeWaiting(waiting: List<WaitingModel>) {
         if (waiting.isEmpty()) return
-        val text = waiting.take(MAX_WAITING_PER_LINE)
-            .joinToString(",") { "${it.modelId}:${it.misses}/${it.waitingMillis}/${it.rank}/${it.hosts}/${it.freeHosts}" }
+        val text = waiting.take(MAX_WAITING_PER_LINE).joinToString(",", transform = ::textOf)
         log.write(Event.MODELS_WAITING, field("count", waiting.size), field("models", text))
     }
 
+    private fun textOf(waiting: WaitingModel): String =
+        with(waiting) { "$modelId:$misses/$waitingMillis/$rank/$hosts/$freeHosts" }
+
     private companion object {
         /** Keeps lines short enough for the collectors of logs. */
         const val MAX_WAITING_PER_LINE = 30
