--- a/core/src/main/kotlin/org/banyanturn/core/placement/CopyInventory.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/CopyInventory.kt
@@ -5,6 +5,7 @@
 /** The state of one copy on an engine, as known to the engine's owner. */
 internal class TrackedCopy(var phase: CopyPhase, var lastUsedAtMillis: Long) {
     var loadStartedAtMillis = 0L
+    var isLoadedFromStore = false
     var readyAtMillis = 0L
 }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManager.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManager.kt
@@ -333,10 +333,20 @@
         copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
         copy.lastUsedAtMillis = nowMillis
         copy.loadStartedAtMillis = nowMillis
+        copy.isLoadedFromStore = hostWeights.sourceOf(order.copy.modelId) == WeightsSource.STORE
         copy.readyAtMillis = nowMillis + loadMillis(order.copy)
         nextOrderMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
     }
 
+    /** Returns the load of a model from the weight store that the engine carries out, or `null` if there is none. */
+    public fun storeLoadOrNull(nowMillis: Long): StoreLoad? {
+        val (name, copy) = copies.entries.firstOrNull { (name, copy) -> isLoadingFromStore(name, copy) } ?: return null
+        return StoreLoad(name.modelId, nowMillis - copy.loadStartedAtMillis)
+    }
+
+    private fun isLoadingFromStore(name: CopyName, copy: TrackedCopy): Boolean =
+        !name.isAdapter && copy.phase == CopyPhase.LOADING && copy.isLoadedFromStore
+
     /** Returns whether the engine is known to hold [copy] now. */
     public fun holds(copy: CopyName, nowMillis: Long): Boolean {
         inventory.completeAdapterLoads(nowMillis)
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -38,8 +38,33 @@
         get() = source == WeightsSource.STORE
 }
 
-/** A planned load that has not ended, expected to end at [expectedMillis]. */
-internal class PlannedLoad(val plan: LoadPlan, val startedAtMillis: Long, val expectedMillis: Long)
+/**
+ * A planned load that has not ended.
+ *
+ * @property expectedMillis the time at which the load is expected to end.
+ * @property loadMillis the duration of the load at full speed, without evictions.
+ * @property storeLoads the number of loads from the store that ran when it was recorded, including itself.
+ * @property isAdopted whether another planner ordered the load.
+ */
+internal class PlannedLoad(
+    val plan: LoadPlan,
+    val startedAtMillis: Long,
+    val expectedMillis: Long,
+    val loadMillis: Long,
+    private val storeLoads: Int,
+    val isAdopted: Boolean = false,
+) {
+    /** The time at which the engine began to load, or the best estimate of it. */
+    var loadingSinceMillis = startedAtMillis
+
+    /**
+     * Returns the time from the start in which the load ends even if the store serves its loads one after the other.
+     *
+     * @param runningStoreLoads the number of loads from the store that run now.
+     */
+    fun patienceMillis(runningStoreLoads: Int): Long =
+        (expectedMillis - startedAtMillis) * if (plan.isFromStore) maxOf(storeLoads, runningStoreLoads) else 1
+}
 
 /**
  * Decides which models to load on which engines, and which models to evict for them. Not thread-safe.
@@ -64,6 +89,8 @@
     private val declinedUntilMillis = HashMap<TargetId, Long>()
     private val misses = HashMap<ModelId, MissRecord>()
     private val loadedAtMillis = HashMap<Pair<TargetId, ModelId>, Long>()
+    private val storeLimit = StoreLoadLimit(settings.maxLoads)
+    private val storeLoadPeriods = ArrayDeque<LongRange>()
     private var firstRequestMillis: Long? = null
     private var prefillBudget: PrefillBudget? = null
 
@@ -112,7 +139,7 @@
     public fun nextPlanOrNull(engines: List<PlannedEngine>, spec: EngineSpec, nowMillis: Long): LoadPlan? {
         val evaluator = evaluator(engines, spec, nowMillis)
         if (!evaluator.hasFreeEngine) return null
-        return evaluator.candidates.take(settings.maxCandidates).firstNotNullOfOrNull { evaluator.planOrNull(it) }
+        return evaluator.loadable.firstNotNullOfOrNull { evaluator.planOrNull(it) }
     }
 
     /**
@@ -133,7 +160,6 @@
         val evaluator = evaluator(engines, spec, nowMillis)
         val storeLoadsRemainingMillis = loads.values.filter { it.plan.isFromStore }
             .map { (it.expectedMillis - nowMillis).coerceAtLeast(0) }
-            .sorted()
         return LoadExpectations(evaluator, storeLoadsRemainingMillis, settings.evictionMillis)
     }
 
@@ -151,33 +177,97 @@
             loadedAtMillis = loadedAtMillis,
             firstRequestMillis = firstRequestMillis,
             prefillBudget = prefillBudget,
+            storeLimit = storeLimit.limitOrNull,
         )
         return PlacementEvaluator(settings, state, engines, spec, nowMillis)
     }
 
-    /** Records that the load of [plan] was ordered and is expected to end in [readyInMillis]. */
-    public fun started(plan: LoadPlan, readyInMillis: Long, nowMillis: Long) {
-        loads[plan.targetId] = PlannedLoad(plan, nowMillis, nowMillis + readyInMillis)
+    /**
+     * Records that the load of [plan] was ordered.
+     *
+     * @param loadMillis the duration of the load at full speed.
+     * @param overheadMillis the time that evictions and messages take beside it.
+     * @return the expected time in milliseconds until the load ends.
+     */
+    public fun started(plan: LoadPlan, loadMillis: Long, nowMillis: Long, overheadMillis: Long = 0): Long {
+        val slowdown = if (plan.isFromStore) nextSlowdown() else 1
+        val expectedInMillis = overheadMillis + loadMillis * slowdown
+        val expectedMillis = nowMillis + expectedInMillis
+        val load = PlannedLoad(plan, nowMillis, expectedMillis, loadMillis, storeLoads = runningStoreLoads() + 1)
+        load.loadingSinceMillis = nowMillis + overheadMillis
+        loads[plan.targetId] = load
+        return expectedInMillis
+    }
+
+    private fun runningStoreLoads(): Int = loads.values.count { it.plan.isFromStore }
+
+    /** Returns how much slower than at full speed another load from the store is expected to be. */
+    private fun nextSlowdown(): Int {
+        val limit = storeLimit.limitOrNull ?: settings.maxLoads
+        return maxOf(1, (runningStoreLoads() + 1) / limit)
+    }
+
+    /**
+     * Records that the engine of [plan] has been loading for [elapsedMillis], as its owner reports.
+     *
+     * A load that another planner has ordered counts like an own one from then on. A report on an engine that has
+     * declined a load recently is ignored, as its owner may not know yet that the engine has failed.
+     *
+     * @param loadMillis the duration of the load at full speed.
+     * @return the expected time in milliseconds until the load ends, or `null` if the load is not a new one.
+     */
+    public fun recordProgress(plan: LoadPlan, elapsedMillis: Long, loadMillis: Long, nowMillis: Long): Long? {
+        val known = loads[plan.targetId]
+        if (known != null && known.plan.modelId == plan.modelId) {
+            known.loadingSinceMillis = nowMillis - elapsedMillis
+            return null
+        }
+        val isEngineDeclined = nowMillis < (declinedUntilMillis[plan.targetId] ?: Long.MIN_VALUE)
+        if (known != null || isEngineDeclined) return null
+        val startedAtMillis = nowMillis - elapsedMillis
+        val expectedInMillis = (loadMillis - elapsedMillis).coerceAtLeast(loadMillis / OVERDUE_DIVISOR)
+        loads[plan.targetId] =
+            PlannedLoad(
+                plan,
+                startedAtMillis,
+                nowMillis + expectedInMillis,
+                loadMillis,
+                storeLoads = runningStoreLoads() + 1,
+                isAdopted = true,
+            )
+        return expectedInMillis
     }
 
     /** Records that the load of [plan] has ended; if it [wasDeclined], its engine is not considered for a while. */
     public fun ended(plan: LoadPlan, wasDeclined: Boolean, nowMillis: Long) {
-        if (loads[plan.targetId]?.plan?.modelId != plan.modelId) return
+        val load = loads[plan.targetId]?.takeIf { it.plan.modelId == plan.modelId } ?: return
         loads -= plan.targetId
         if (wasDeclined) {
             declinedUntilMillis[plan.targetId] = nowMillis + settings.declineBackoffMillis
-        } else {
-            misses.computeIfPresent(plan.modelId) { _, earlier ->
-                MissRecord(count = 0, firstMillis = earlier.latestMillis, latestMillis = earlier.latestMillis)
-            }
-            loadedAtMillis[plan.targetId to plan.modelId] = nowMillis
+            return
+        }
+        misses.computeIfPresent(plan.modelId) { _, earlier ->
+            MissRecord(count = 0, firstMillis = earlier.latestMillis, latestMillis = earlier.latestMillis)
         }
+        loadedAtMillis[plan.targetId to plan.modelId] = nowMillis
+        if (plan.isFromStore) recordStoreLoad(load, nowMillis)
+    }
+
+    private fun recordStoreLoad(load: PlannedLoad, nowMillis: Long) {
+        val sinceMillis = load.loadingSinceMillis
+        val running = loads.values.count { it.plan.isFromStore && it.loadingSinceMillis <= sinceMillis }
+        val ended = storeLoadPeriods.count { sinceMillis in it }
+        storeLoadPeriods += sinceMillis..nowMillis
+        if (storeLoadPeriods.size > MAX_STORE_LOAD_PERIODS) storeLoadPeriods.removeFirst()
+        val slowdown = (nowMillis - sinceMillis).toDouble() / load.loadMillis
+        if (!load.isAdopted) storeLimit.record(loadsAtStart = running + ended + 1, slowdown)
     }
 
     private fun removeExpired(nowMillis: Long) {
+        val storeLoads = runningStoreLoads()
         loads.values.removeIf {
-            nowMillis - it.startedAtMillis >
-                2 * (it.expectedMillis - it.startedAtMillis) + LOST_LOAD_GRACE_MILLIS
+            val patienceMillis = 2 * it.patienceMillis(storeLoads) + LOST_LOAD_GRACE_MILLIS
+            nowMillis - it.startedAtMillis > patienceMillis
         }
         declinedUntilMillis.values.removeIf { it <= nowMillis }
         loadedAtMillis.values.removeIf { nowMillis - it > maxOf(settings.minResidenceMillis, settings.inUseMillis) }
@@ -186,5 +276,11 @@
     private companion object {
         /** The time after twice its expected duration at which a load counts as lost. */
         const val LOST_LOAD_GRACE_MILLIS = 2_000L
+
+        /** The number of ended loads from the store that are remembered; more never overlap with a later one. */
+        const val MAX_STORE_LOAD_PERIODS = 32
+
+        /** An overdue load is assumed to need another 1/4 of its time. */
+        const val OVERDUE_DIVISOR = 4
     }
 }
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
@@ -12,8 +12,9 @@
  * already has a copy.
  * @property maxPrefillSpreadFraction the maximum fraction of the engines that a model is spread over to keep the gaps
  * in streams short.
- * @property maxCandidates the maximum number of models that are evaluated for one plan, which bounds the duration of a
- * planning run in large deployments.
+ * @property maxCandidates the maximum number of models cached by hosts that are evaluated for one plan, which bounds
+ * the duration of a planning run in large deployments.
+ * @property maxStoreCandidates the same maximum for models that only the weight store has.
  * @property surplusCopyValue the value of a copy beyond those that a model needs, as a fraction of its demand.
  * @property replicaValue the weight of demand for a model that needs further copies, relative to demand for a model
  * without any copy.
@@ -50,6 +51,7 @@
     val maxReplicaLoads: Int = 1,
     val maxPrefillSpreadFraction: Double = 0.5,
     val maxCandidates: Int = 40,
+    val maxStoreCandidates: Int = 8,
     val surplusCopyValue: Double = 0.01,
     val replicaValue: Double = 0.5,
     val runSeconds: Double = 2.0,
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
@@ -11,6 +11,7 @@
     private val state: PlannerState,
     private val engines: List<PlannedEngine>,
     private val spec: EngineSpec,
+    private val activeLoads: Map<ModelId, Int>,
     private val nowMillis: Long,
 ) {
     private val copies = engines.flatMap { it.held.keys }.groupingBy { it }.eachCount()
@@ -26,6 +27,9 @@
     /** Returns the number of engines that hold [modelId]. */
     fun copiesOf(modelId: ModelId): Int = copies[modelId] ?: 0
 
+    /** Returns the number of engines that hold or load [modelId]. */
+    fun copiesAndLoadsOf(modelId: ModelId): Int = copiesOf(modelId) + (activeLoads[modelId] ?: 0)
+
     /** Returns the estimated demand for [modelId]. */
     fun demandPerSecond(modelId: ModelId): Double =
         demands.getOrPut(modelId) {
@@ -62,13 +66,15 @@
     fun gainOf(model: ModelSpec): Double = gains.getOrPut(model.modelId) { computeGain(model) }
 
     private fun computeGain(model: ModelSpec): Double {
-        val count = copiesOf(model.modelId)
+        val count = copiesAndLoadsOf(model.modelId)
         val demandPerSecond = demandPerSecond(model.modelId)
-        if (count == 0) return demandPerSecond * (1 + settings.missWeight * (state.misses[model.modelId]?.count ?: 0))
+        if (count == 0) return demandPerSecond * (1 + settings.missWeight * missesOf(model.modelId))
         val needed = neededCopies(model)
         return demandPerSecond * settings.replicaValue * (needed - count).coerceAtLeast(0) / needed
     }
 
+    private fun missesOf(modelId: ModelId): Int = state.misses[modelId]?.count ?: 0
+
     /** Returns the requests per second that would be lost or slowed down if one copy of [modelId] were evicted. */
     fun valueOf(modelId: ModelId): Double = copyValues.getOrPut(modelId) { computeValue(modelId) }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
@@ -16,6 +16,7 @@
  * @property loadedAtMillis the times at which recently loaded copies became ready.
  * @property firstRequestMillis the time at which the first request arrived, or `null` before it.
  * @property prefillBudget the prefill budget of the engines, or `null` while it is not known.
+ * @property storeLimit the number of loads from the store that may run at once, or `null` if it has shown no bound.
  */
 internal class PlannerState(
     val demands: Map<ModelId, ModelDemand>,
@@ -25,6 +26,7 @@
     val loadedAtMillis: Map<Pair<TargetId, ModelId>, Long>,
     val firstRequestMillis: Long?,
     val prefillBudget: PrefillBudget?,
+    val storeLimit: Int?,
 )
 
 /**
@@ -49,14 +51,14 @@
     private val spec: EngineSpec,
     private val nowMillis: Long,
 ) {
-    private val values = ModelValues(settings, state, engines, spec, nowMillis)
     private val storeLoads = state.loads.values.count { it.plan.isFromStore }
 
     /** The number of running loads by model, without overdue loads. */
     private val activeLoads = state.loads.values
-        .filter { nowMillis < it.expectedMillis + settings.overdueMillis }
+        .filterNot(::isOverdue)
         .groupingBy { it.plan.modelId }
         .eachCount()
+    private val values = ModelValues(settings, state, engines, spec, activeLoads, nowMillis)
     private val evaluatedEngines = HashMap<TargetId, EvaluatedEngine>()
 
     /** The engines whose hosts cache the weights of each model. */
@@ -71,14 +73,22 @@
     private val freeTargetIds = freeEngines.mapTo(HashSet()) { it.targetId }
     private val hasRequests = state.firstRequestMillis != null
 
-    /** The maximum number of concurrent loads from the store. */
-    val maxStoreLoads: Int =
+    /** The maximum number of concurrent loads from the store that leaves most engines free for other loads. */
+    private val maxLoadingEngines: Int =
         if (hasRequests) {
             (engines.size * settings.maxLoadingFraction).toInt().coerceIn(1, settings.maxLoads)
         } else {
             settings.maxLoads
         }
 
+    /** The maximum number of concurrent loads from the store. */
+    val maxStoreLoads: Int = minOf(state.storeLimit ?: settings.maxLoads, maxLoadingEngines)
+
+    /** The same maximum for urgent loads. */
+    private val maxUrgentLoads: Int = (maxLoadingEngines + settings.extraUrgentLoads).let { most ->
+        state.storeLimit?.let { minOf(it, most) } ?: most
+    }
+
     /** Whether any engine can start a load now. */
     val hasFreeEngine: Boolean
         get() = freeEngines.isNotEmpty()
@@ -88,8 +98,21 @@
         spec.models.values.filter(::lacksCopy).sortedByDescending { values.gainOf(it) / it.weightsMegabytes }
     }
 
+    /** The candidates to evaluate for the next load, in their order; those that hosts cache hide none of the others. */
+    val loadable: Sequence<ModelSpec>
+        get() {
+            val isStoreFree = storeLoads < maxUrgentLoads
+            val cached = candidates.asSequence().filterNot(::isOnlyInStore).take(settings.maxCandidates)
+            val onlyInStore = candidates.asSequence().filter(::isOnlyInStore).take(settings.maxStoreCandidates)
+            val evaluated = cached.toSet() + if (isStoreFree) onlyInStore.toSet() else emptySet()
+            return candidates.asSequence().filter { it in evaluated }
+        }
+
+    private fun isOverdue(load: PlannedLoad): Boolean =
+        nowMillis >= load.startedAtMillis + load.patienceMillis(storeLoads) + settings.overdueMillis
+
     private fun lacksCopy(model: ModelSpec): Boolean {
-        val count = values.copiesOf(model.modelId) + (activeLoads[model.modelId] ?: 0)
+        val count = values.copiesAndLoadsOf(model.modelId)
         return count == 0 || (hasRequests && count < values.neededCopies(model))
     }
 
@@ -119,6 +142,9 @@
         )
     }
 
+    /** Returns whether no host caches the weights of [model]. */
+    fun isOnlyInStore(model: ModelSpec): Boolean = model.modelId !in hosts
+
     private fun hostsOf(model: ModelSpec): List<PlannedEngine> = hosts[model.modelId].orEmpty()
 
     private fun bestFromStoreOrNull(model: ModelSpec): LoadOption? {
@@ -131,11 +157,18 @@
 
     private fun maxLoadsFor(model: ModelSpec): Int =
         when {
-            hasRequests && values.copiesOf(model.modelId) > 0 -> settings.maxReplicaLoads
-            isUrgent(model) -> maxStoreLoads + settings.extraUrgentLoads
+            values.copiesAndLoadsOf(model.modelId) > 0 -> if (isStoreAwaited) 0 else settings.maxReplicaLoads
+            isUrgent(model) -> maxUrgentLoads
             else -> maxStoreLoads
         }
 
+    /** Whether requests have found no copy of a model that only the store can load. */
+    private val isStoreAwaited: Boolean by lazy {
+        candidates.any {
+            isOnlyInStore(it) && values.copiesAndLoadsOf(it.modelId) == 0 && hasMisses(it.modelId)
+        }
+    }
+
     /** Returns whether the gain of [model] is so high that recently loaded models may be evicted for it too. */
     private fun isUrgent(model: ModelSpec): Boolean = values.gainOf(model) >= settings.urgentGain
 
@@ -197,6 +230,8 @@
             values.gainOf(model) >= option.victimsValue * minGainFactorOf(option.plan)
     }
 
+    private fun hasMisses(modelId: ModelId): Boolean = (state.misses[modelId]?.count ?: 0) > 0
+
     private fun isRecentlyMissed(modelId: ModelId): Boolean {
         val misses = state.misses[modelId] ?: return false
         return nowMillis - misses.latestMillis <= settings.missWindowMillis
--- a/core/src/test/kotlin/org/banyanturn/core/placement/EngineCopyManagerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/EngineCopyManagerTest.kt
@@ -187,6 +187,24 @@
         assertTrue(manager.holds(copy("m1"), 7_000))
     }
 
+    /** Returns what a manager reports one second after it has begun to load [model], with "m1" on the host's disk. */
+    private fun storeLoadOf(model: String): StoreLoad? {
+        val manager = EngineCopyManager(spec)
+        val weights = HostWeights(onDisk = setOf(ModelId("m1")))
+        manager.onReport(1, ordersAccepted = 4, false, held("m0" to emptyList()), nowMillis = 0, weights)
+        manager.request(copy(model), 5_000)
+        val load = checkNotNull(manager.nextOrderOrNull(5_000)) { "an order is due" }
+        assertNull(manager.storeLoadOrNull(5_000))
+        manager.onOrderAnswered(load, CopyOrderResult.ACCEPTED, 5_010)
+        return manager.storeLoadOrNull(6_010)
+    }
+
+    @Test
+    fun `a load from the store is reported with its duration, one from the host is not`() {
+        assertEquals(StoreLoad(ModelId("m2"), elapsedMillis = 1_000), storeLoadOf("m2"))
+        assertNull(storeLoadOf("m1"))
+    }
+
     @Test
     fun `a restarted engine holds none of its earlier copies`() {
         val manager = manager("m0" to emptyList(), "m1" to emptyList())
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -249,8 +249,18 @@
         assertNull(nextPlan(engine("i-1", "m5", "m6", onDisk = allModels)))
     }
 
+    /** Lets the store serve as many loads at full speed as the planner ever starts at once. */
+    private fun simulateFastStore() {
+        for (loads in 1..ModelPlannerSettings().maxLoads) {
+            val plans = (1..loads).map { LoadPlan(TargetId("x-$it"), ModelId("m8"), emptyList()) }
+            plans.forEach { planner.started(it, loadMillis = 6_000, NOW_MILLIS - 7_000) }
+            plans.forEach { planner.ended(it, wasDeclined = false, NOW_MILLIS - 1_000) }
+        }
+    }
+
     @Test
     fun `concurrent loads from the store are limited except for models with very high demand`() {
+        simulateFastStore()
         val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
         val settings = ModelPlannerSettings()
         (0 until settings.maxLoads).forEach { index ->
@@ -296,6 +306,7 @@
 
     @Test
     fun `a load that must wait for the store is expected after a running load ends`() {
+        simulateFastStore()
         val engines = (1..40).map { engine("i-$it", "m9") }
         repeat(ModelPlannerSettings().maxLoads) { index ->
             recordMiss("m$index")
@@ -306,4 +317,94 @@
         val readyInMillis = planner.expectedMillisOrNull(ModelId("m8"), engines, spec, NOW_MILLIS)
         assertTrue(checkNotNull(readyInMillis) { "m8 waits" } in 12_000..14_000, "$readyInMillis")
     }
+
+    /** Lets [count] loads that start at once take [tookMillis] each, where 6 s are stated. */
+    private fun simulateStoreLoads(count: Int, tookMillis: Long) {
+        val plans = (1..count).map { LoadPlan(TargetId("x-$it"), ModelId("m8"), emptyList()) }
+        plans.forEach { planner.started(it, loadMillis = 6_000, NOW_MILLIS - tookMillis) }
+        plans.forEach { planner.ended(it, wasDeclined = false, NOW_MILLIS) }
+    }
+
+    private fun startedStoreLoads(): Int {
+        val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
+        (0..7).forEach { recordMiss("m$it") }
+        return generateSequence { nextPlan(*engines)?.also { planner.started(it, 6_000, NOW_MILLIS) } }.count()
+    }
+
+    @Test
+    fun `no more loads run from the store than it has served at full speed`() {
+        assertEquals(2, startedStoreLoads())
+    }
+
+    @Test
+    fun `a store that slows loads down gets fewer of them, urgent ones too`() {
+        simulateFastStore()
+        simulateStoreLoads(4, tookMillis = 12_000)
+        (0..7).forEach { simulateDemand("m$it", 5.0) }
+        assertEquals(2, startedStoreLoads())
+    }
+
+    @Test
+    fun `a load from the store that others slow down is not started again elsewhere`() {
+        val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
+        simulateDemand("m0", 0.2)
+        simulateDemand("m1", 0.2)
+        listOf("m0", "m1").forEach(::recordMiss)
+        repeat(2) { planner.started(checkNotNull(nextPlan(*engines)) { "load $it is due" }, 6_000, NOW_MILLIS) }
+        val plan = planner.nextPlanOrNull(engines.toList(), spec, NOW_MILLIS + 11_000)
+        assertFalse(plan?.modelId in setOf(ModelId("m0"), ModelId("m1")), "$plan")
+    }
+
+    @Test
+    fun `a second copy of a model is not loaded from the store while its first copy loads and others wait`() {
+        val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
+        simulateDemand("m0", 50.0)
+        recordMiss("m0")
+        val first = checkNotNull(nextPlan(*engines)) { "a load is due" }
+        planner.started(first, 6_000, NOW_MILLIS)
+        recordMiss("m1")
+        assertEquals(listOf("m0", "m1"), listOf(first, nextPlan(*engines)).map { it?.modelId?.value })
+    }
+
+    @Test
+    fun `models that hosts cache hide none that only the store has, however many they are`() {
+        val many = (0 until 400).map { model("b$it") }
+        val wide = EngineSpec(48, (many + model("m0")).associateBy { it.modelId }, 130.0, 8, loadsPerSecond = 3.0)
+        val busyHost = engine("i-1", onDisk = many.mapTo(HashSet()) { it.modelId.value })
+        many.forEach { planner.recordDemand(it.modelId, null, 5, NOW_MILLIS) }
+        (many.map { it.modelId } + ModelId("m0")).forEach { planner.recordMiss(it, NOW_MILLIS) }
+        val running = LoadPlan(busyHost.targetId, ModelId("b0"), emptyList(), WeightsSource.HOST_DISK)
+        planner.started(running, 800, NOW_MILLIS)
+        val plan = planner.nextPlanOrNull(listOf(busyHost, engine("i-2")), wide, NOW_MILLIS)
+        assertEquals(ModelId("m0"), plan?.modelId)
+    }
+
+    @Test
+    fun `a report on a load is ignored while its engine has just declined one`() {
+        val plan = LoadPlan(TargetId("i-1"), ModelId("m0"), emptyList())
+        planner.started(plan, 6_000, NOW_MILLIS)
+        planner.ended(plan, wasDeclined = true, NOW_MILLIS + 100)
+        assertNull(planner.recordProgress(plan, elapsedMillis = 200, loadMillis = 6_000, NOW_MILLIS + 200))
+    }
+
+    @Test
+    fun `a load that another planner has ordered counts like an own one`() {
+        val engines = (1..40).map { engine("i-$it", "m9") }.toTypedArray()
+        (1..2).forEach {
+            val plan = LoadPlan(TargetId("i-$it"), ModelId("m${it + 3}"), emptyList())
+            assertNotNull(planner.recordProgress(plan, elapsedMillis = 2_000, loadMillis = 6_000, NOW_MILLIS))
+            assertNull(planner.recordProgress(plan, elapsedMillis = 2_250, loadMillis = 6_000, NOW_MILLIS + 250))
+        }
+        recordMiss("m0")
+        assertNull(nextPlan(*engines))
+    }
+
+    @Test
+    fun `models that only the store has are told to wait for its next loads`() {
+        val engines = (1..40).map { engine("i-$it", "m9") }
+        (0..5).forEach { recordMiss("m$it") }
+        val expectations = planner.expectations(engines, spec, NOW_MILLIS)
+        val expectedMillis = (0..5).mapNotNull { expectations.expectedMillisOrNull(ModelId("m$it")) }.sorted()
+        assertEquals(listOf(7_000L, 7_000L, 14_000L, 14_000L, 21_000L, 21_000L), expectedMillis)
+    }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -9,6 +9,7 @@
 import org.banyanturn.core.placement.PlannedEngine
 import org.banyanturn.core.placement.PlanningThrottle
 import org.banyanturn.core.placement.PrefillBudget
+import org.banyanturn.core.placement.StoreLoad
 import org.banyanturn.core.routing.PrefillSpeedEstimator
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.daemon.ProcessClock
@@ -155,10 +156,7 @@
         prefillBudgetOrNull(service)?.let(planner::setPrefillBudget)
         repeat(MAX_LOADS_PER_ROUND) {
             val plan = planner.nextPlanOrNull(enginesOf(service), spec, clock.nowMillis()) ?: return
-            val model = spec.models.getValue(plan.modelId)
-            val loadMillis = model.loadMillisFrom(plan.source)
-            val evictionMillis = if (plan.victims.isEmpty()) 0 else ModelPlannerSettings().evictionMillis
-            start(service, plan, loadMillis + evictionMillis + REPORT_MARGIN_MILLIS)
+            start(service, plan, spec.models.getValue(plan.modelId).loadMillisFrom(plan.source))
         }
     }
 
@@ -171,10 +169,11 @@
         val nowMillis = clock.nowMillis()
         val planner = plannerOf(service)
         val load = RunningLoad(numbers.next(), service, plan, nowMillis)
-        load.expectedAtMillis = nowMillis + loadMillis
+        val evictionMillis = if (plan.victims.isEmpty()) 0 else ModelPlannerSettings().evictionMillis
+        val expectedInMillis = planner.started(plan, loadMillis, nowMillis, evictionMillis + REPORT_MARGIN_MILLIS)
+        load.expectedAtMillis = nowMillis + expectedInMillis
         queued.remove(service to plan.modelId)?.let { load.requesters += it.requesters }
         running[load.number] = load
-        planner.started(plan, loadMillis, nowMillis)
         log.write(
             Event.LOAD_PLANNED,
             field("model", plan.modelId),
@@ -225,6 +224,33 @@
         requestPlanning(load.service)
     }
 
+    /** Records the [storeLoad] of the engine [targetId], as its owner reports; another planner may have ordered it. */
+    fun recordStoreLoad(service: ServiceName, targetId: TargetId, storeLoad: StoreLoad) {
+        val model = view.catalog?.services?.get(service)?.engine?.models?.get(storeLoad.modelId) ?: return
+        if (!view.isUsable(targetId) || view.isRefusingConnections(targetId)) return
+        val nowMillis = clock.nowMillis()
+        val plan = LoadPlan(targetId, storeLoad.modelId, victims = emptyList())
+        val expectedInMillis =
+            plannerOf(service).recordProgress(plan, storeLoad.elapsedMillis, model.loadMillis, nowMillis) ?: return
+        val load = RunningLoad(numbers.next(), service, plan, nowMillis - storeLoad.elapsedMillis)
+        load.expectedAtMillis = nowMillis + expectedInMillis
+        load.isAnswered = true
+        load.isAdopted = true
+        running[load.number] = load
+        answerQueued(load, nowMillis)
+    }
+
+    /** Answers the requests that were queued for the model of [load] that the load has begun. */
+    private fun answerQueued(load: RunningLoad, nowMillis: Long) {
+        queued.remove(load.service to load.plan.modelId)?.let { load.requesters += it.requesters }
+        load.requesters.toList().forEach { transport.answer(it, load.answerTo(it, nowMillis)) }
+    }
+
+    private fun hasEnded(load: RunningLoad): Boolean {
+        val target = view.directory.targets[load.plan.targetId] ?: return false
+        return load.isAdopted && view.holds(target, CopyName(load.plan.modelId))
+    }
+
     private fun onDeclined(load: RunningLoad, reason: String) {
         planningLog.recordDeclined()
         log.write(
@@ -269,9 +295,12 @@
         val nowMillis = clock.nowMillis()
         if (nowMillis - queueRetriedAtMillis >= QUEUE_RETRY_MILLIS) startQueued(nowMillis)
         planIfDue()
+        val storeLoads = running.values.count { it.plan.isFromStore }
         running.values.toList().forEach { load ->
             when {
-                nowMillis > load.expectedAtMillis + load.graceMillis -> onDeclined(load, "overdue")
+                hasEnded(load) -> onReady(load.plan.targetId, CopyName(load.plan.modelId))
+                nowMillis > load.expectedAtMillis + load.graceMillis(storeLoads) -> onDeclined(load, "overdue")
+                load.plan.targetId !in view.directory.targets -> onDeclined(load, "gone")
                 view.isRefusingConnections(load.plan.targetId) -> onDeclined(load, "dead")
                 load.isAnswered -> Unit
                 nowMillis - load.sentAtMillis <= RESEND_MILLIS -> Unit
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
@@ -13,6 +13,7 @@
 import org.banyanturn.core.placement.CopyOrderResult
 import org.banyanturn.core.placement.CopyRequestResult
 import org.banyanturn.core.placement.EngineCopyManager
+import org.banyanturn.core.placement.StoreLoad
 import org.banyanturn.core.serving.EngineSpec
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.ProcessClock
@@ -94,6 +95,14 @@
         engines[targetId]?.copyManager?.recordUse(copy, clock.nowMillis())
     }
 
+    /** Returns the loads from the weight store that the owned engines carry out. */
+    fun storeLoads(): Map<KnownTarget, StoreLoad> =
+        engines.entries.mapNotNull { (targetId, engine) ->
+            val target = view.directory.targets[targetId]
+            val load = engine.copyManager.storeLoadOrNull(clock.nowMillis())
+            if (target == null || load == null) null else target to load
+        }.toMap()
+
     /** Updates the owned engines from the current list of targets. */
     fun onDirectory() {
         val owned = view.directory.targets.values.filter { specOf(it) != null && isOwned(it.entry.targetId) }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/RequestedLoads.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/RequestedLoads.kt
@@ -52,9 +52,14 @@
     var expectedAtMillis = startedAtMillis
     var isAnswered = false
 
-    /** Time beyond [expectedAtMillis] before the load is overdue; loads take longer while many run. */
-    val graceMillis: Long
-        get() = (expectedAtMillis - startedAtMillis).coerceAtLeast(MIN_GRACE_MILLIS)
+    /** Whether another planner ordered the load. */
+    var isAdopted = false
+
+    /** Returns the time beyond [expectedAtMillis] before the load is overdue; [storeLoads] run from the store. */
+    fun graceMillis(storeLoads: Int): Long {
+        val factor = if (plan.isFromStore) storeLoads else 1
+        return ((expectedAtMillis - startedAtMillis) * factor).coerceAtLeast(MIN_GRACE_MILLIS)
+    }
 
     /** Returns and removes the requests that wait for this load. */
     fun drainRequesters(): Requesters =
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/CopyMessages.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/CopyMessages.kt
@@ -5,6 +5,7 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.isIdentifier
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.placement.StoreLoad
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.entry.copies.CopyAnswer
 import org.banyanturn.entry.requests.ArrivedRequests
@@ -40,6 +41,16 @@
 internal fun CopyName.toDemandMessage(service: ServiceName, arrived: ArrivedRequests): DemandMessage =
     DemandMessage(service.value, modelId.value, arrived.count, adapterId?.value.orEmpty(), arrived.promptTokens)
 
+/** Returns the message on the load that the engine [targetId] of [service] carries out. */
+internal fun StoreLoad.toMessage(service: ServiceName, targetId: TargetId): StoreLoadMessage =
+    StoreLoadMessage(service.value, targetId.value, modelId.value, elapsedMillis)
+
+/** Returns the load in the message, or `null` if a part of the message is malformed. */
+internal fun StoreLoadMessage.storeLoadOrNull(): StoreLoad? {
+    val isValid = isIdentifier(service) && isIdentifier(targetId) && isIdentifier(modelId) && elapsedMillis >= 0
+    return if (isValid) StoreLoad(ModelId(modelId), elapsedMillis) else null
+}
+
 /** Returns the answer in the reply. */
 internal fun CopyReplyMessage.toAnswer(): CopyAnswer =
     CopyAnswer(number, readyInMillis.takeIf { it >= 0 }, targetId.takeIf(::isIdentifier)?.let(::TargetId), reason)
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -33,6 +33,7 @@
     @ProtoNumber(14) val deadTargets: List<String> = emptyList(),
     @ProtoNumber(15) val turns: List<TurnMessage> = emptyList(),
     @ProtoNumber(16) val promptPartRecords: List<String> = emptyList(),
+    @ProtoNumber(17) val storeLoads: List<StoreLoadMessage> = emptyList(),
 )
 
 /** Reports the usage of a member at the sender to the member's collector. */
@@ -105,6 +106,15 @@
     @ProtoNumber(5) val promptTokens: Long = 0,
 )
 
+/** Reports to the planner of [service] that an engine of the sender loads a model from the weight store. */
+@Serializable
+internal class StoreLoadMessage(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val targetId: String,
+    @ProtoNumber(3) val modelId: String,
+    @ProtoNumber(4) val elapsedMillis: Long,
+)
+
 /** Returns this datagram in its wire format. */
 internal fun PeerDatagram.encode(): ByteArray = encodeMessage(PeerDatagram.serializer(), this)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -111,30 +111,66 @@
 
     private fun otherVms(): List<Peer> = ownership.peers.filterNot(ownership::isSelf)
 
-    /** Reports the copies that this VM uses to the owners of their engines, and its callers' demand to the planners. */
+    /**
+     * Reports the copies that this VM uses to the owners of their engines, and to the planners the demand of its
+     * callers and the loads of its engines.
+     */
     fun sendUsageAndDemand() {
-        val usesByOwner = LinkedHashMap<Peer, MutableList<CopyLocationMessage>>()
+        val uses = usesByOwner()
+        val demands = demandsByPlanner()
+        val storeLoads = storeLoadsByPlanner()
+        (uses.keys + demands.keys + storeLoads.keys).forEach { peer ->
+            send(
+                peer.host,
+                uses = uses[peer].orEmpty(),
+                demands = demands[peer].orEmpty(),
+                storeLoads = storeLoads[peer].orEmpty(),
+            )
+        }
+    }
+
+    /** Records uses of copies on the own engines, and returns the others. */
+    private fun usesByOwner(): Map<Peer, List<CopyLocationMessage>> {
+        val uses = LinkedHashMap<Peer, MutableList<CopyLocationMessage>>()
         view.drainUses().forEach { (targetId, copies) ->
             val owner = ownerOrNull(targetId) ?: return@forEach
             if (ownership.isSelf(owner)) {
                 copies.forEach { engines.recordUse(targetId, it) }
             } else {
-                usesByOwner.getOrPut(owner) { ArrayList() } += copies.map { it.toLocationMessage(targetId) }
+                uses.getOrPut(owner) { ArrayList() } += copies.map { it.toLocationMessage(targetId) }
             }
         }
-        val demandsByPlanner = LinkedHashMap<Peer, MutableList<DemandMessage>>()
+        return uses
+    }
+
+    /** Records demand for services that this VM plans for, and returns the rest. */
+    private fun demandsByPlanner(): Map<Peer, List<DemandMessage>> {
+        val demands = LinkedHashMap<Peer, MutableList<DemandMessage>>()
         view.drainDemands().forEach { (requested, arrived) ->
             val (service, copy) = requested
             val peer = plannerOrNull(service) ?: return@forEach
             if (ownership.isSelf(peer)) {
                 planner.recordDemand(service, copy, arrived)
             } else {
-                demandsByPlanner.getOrPut(peer) { ArrayList() } += copy.toDemandMessage(service, arrived)
+                demands.getOrPut(peer) { ArrayList() } += copy.toDemandMessage(service, arrived)
             }
         }
-        (usesByOwner.keys + demandsByPlanner.keys).forEach { peer ->
-            send(peer.host, uses = usesByOwner[peer].orEmpty(), demands = demandsByPlanner[peer].orEmpty())
+        return demands
+    }
+
+    /** Records loads of the own engines for services that this VM plans for, and returns the rest. */
+    private fun storeLoadsByPlanner(): Map<Peer, List<StoreLoadMessage>> {
+        val loads = LinkedHashMap<Peer, MutableList<StoreLoadMessage>>()
+        engines.storeLoads().forEach { (target, load) ->
+            val service = target.entry.service
+            val peer = plannerOrNull(service) ?: return@forEach
+            if (ownership.isSelf(peer)) {
+                planner.recordStoreLoad(service, target.entry.targetId, load)
+            } else {
+                loads.getOrPut(peer) { ArrayList() } += load.toMessage(service, target.entry.targetId)
+            }
         }
+        return loads
     }
 
     override fun requestFromOwner(number: Long, targetId: TargetId, copy: CopyName): Boolean =
@@ -237,6 +273,7 @@
             val arrived = ArrivedRequests(demand.requests, demand.promptTokens)
             planner.recordDemand(ServiceName(demand.service), copy, arrived)
         }
+        datagram.storeLoads.forEach(::onStoreLoad)
         datagram.turns.forEach { turns.onMessage(it, senderHost) }
         val grants = allotments.onReports(from, datagram.reports)
         val replies = datagram.wants.mapNotNull { onCopyRequest(it, senderHost) }
@@ -248,6 +285,11 @@
         view.directory.targets[TargetId(message.targetId)]?.let { view.recordCopyPresence(it, copy, isPresent = false) }
     }
 
+    private fun onStoreLoad(message: StoreLoadMessage) {
+        val load = message.storeLoadOrNull() ?: return
+        planner.recordStoreLoad(ServiceName(message.service), TargetId(message.targetId), load)
+    }
+
     private fun onCopyRequest(request: CopyRequestMessage, senderHost: String): CopyReplyMessage? {
         if (!isIdentifier(request.modelId)) return null
         if (request.targetId.isEmpty()) {
@@ -274,6 +316,7 @@
         promptPartRecords: List<String> = emptyList(),
         deadTargets: List<String> = emptyList(),
         turns: List<TurnMessage> = emptyList(),
+        storeLoads: List<StoreLoadMessage> = emptyList(),
         isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
@@ -291,6 +334,7 @@
             promptPartRecords = promptPartRecords,
             deadTargets = deadTargets,
             turns = turns,
+            storeLoads = storeLoads,
             isLeaving = isLeaving,
             isInGroup = ownership.isInGroup,
         )
--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinatorTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinatorTest.kt
@@ -5,6 +5,7 @@
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.placement.LoadPlan
+import org.banyanturn.core.placement.StoreLoad
 import org.banyanturn.core.routing.PrefillSpeedEstimator
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.Catalog
@@ -125,4 +126,40 @@
         assertEquals(second.second, last.targetId)
         assertTrue(transport.answers.all { it.readyInMillis != null }, "no answer declines the model")
     }
+
+    /** Guards against a new planner that orders a load again which its predecessor has ordered. */
+    @Test
+    fun `a load from the store that another planner has ordered is joined until its engine is listed with the model`() {
+        coordinator.recordStoreLoad(service, TargetId("i-1"), StoreLoad(model.modelId, elapsedMillis = 2_000))
+        coordinator.request(service, model, ModelRequester("vm-2", number = 70))
+        runUntil(200)
+        assertEquals(emptyList<Pair<Long, TargetId>>(), transport.orders)
+        assertEquals(STORE_LOAD_MILLIS - 2_000, transport.answers.single().readyInMillis)
+
+        val holder = checkNotNull(view.directory.targets[TargetId("i-1")]) { "i-1 is listed" }
+        view.recordCopyPresence(holder, model, isPresent = true)
+        runUntil(400)
+        assertEquals(70L to 0L, transport.answers.last().let { it.number to it.readyInMillis })
+    }
+
+    @Test
+    fun `a load on an engine that refuses connections is not joined`() {
+        refuseConnections(TargetId("i-1"))
+        coordinator.recordStoreLoad(service, TargetId("i-1"), StoreLoad(model.modelId, elapsedMillis = 2_000))
+        coordinator.request(service, model, ModelRequester("vm-2", number = 70))
+        runUntil(200)
+        assertEquals(TargetId("i-2"), transport.orders.first().second)
+    }
+
+    @Test
+    fun `a load on an engine that is not listed any more is planned elsewhere`() {
+        coordinator.request(service, model, ModelRequester("vm-2", number = 70))
+        runUntil(TICK_MILLIS)
+        val (number, first) = transport.orders.single()
+        coordinator.onAnswer(CopyAnswer(number, readyInMillis = 800, first, reason = ""))
+        val other = if (first == TargetId("i-1")) "i-2" else "i-1"
+        view.adopt(TargetDirectory.empty().listed(engine(other), nowMillis))
+        runUntil(200)
+        assertEquals(TargetId(other), transport.orders.last().second)
+    }
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
@@ -1,10 +1,12 @@
 package org.banyanturn.entry.copies
 
+import org.banyanturn.core.AdapterId
 import org.banyanturn.core.ModelId
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.placement.LoadPlan
+import org.banyanturn.core.placement.StoreLoad
 import org.banyanturn.core.routing.PrefillSpeedEstimator
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.Catalog
@@ -41,8 +43,8 @@
     override fun get(key: K): V? = map[key].also { lookups++ }
 }
 
-/** What callers saw of one model. */
-internal class ModelOutcome {
+/** What callers saw of one model or adapter. */
+internal class CopyOutcome {
     val arrivedAtMillis = ArrayList<Long>()
     var served = 0
 }
@@ -58,6 +60,7 @@
      * The size of the fleet.
      *
      * @property cachedModels the number of models that any host caches; the others are in the weight store only.
+     * @property fullSpeedStoreLoads the number of loads that the weight store serves at full speed.
      */
     class Size(
         val vms: Int,
@@ -66,8 +69,28 @@
         val cachedModels: Int,
         val heldPerEngine: Int,
         val cachedPerHost: Int,
+        val fullSpeedStoreLoads: Int,
     )
 
+    /**
+     * A request of a caller.
+     *
+     * @property adapter the adapter of the model that is requested, which is there as soon as the model is, or `null`.
+     * @property patienceMillis the time for which the caller waits.
+     * @property retries the number of times that the caller comes back after a refusal.
+     */
+    class CallerRequest(
+        val model: Int,
+        val adapter: Int? = null,
+        val patienceMillis: Long = PATIENCE_MILLIS,
+        val retries: Int = 0,
+    ) {
+        val copy: CopyName
+            get() = CopyName(ModelId("m$model"), adapter?.let { AdapterId("a$it") })
+    }
+
+    private class WaitingCaller(val request: CallerRequest, val untilMillis: Long)
+
     private class Event(val atMillis: Long, val number: Long, val run: () -> Unit)
 
     private val random = Random(seed)
@@ -82,10 +105,19 @@
     private val engines = List(size.engines) { SimulatedEngine(TargetId("i-$it")) }
     private val numbers = generateSequence(1L) { it + 1 }.iterator()
     private val vms = List(size.vms) { SimulatedVm("vm-$it") }
+    private val store = SimulatedStore()
     private val planner = PlannerVm()
 
-    /** What callers saw, by model. */
-    val outcomes = LinkedHashMap<ModelId, ModelOutcome>()
+    /** The number of loads that engines have begun. */
+    var loads = 0
+        private set
+
+    /** The number of these loads that came from the weight store. */
+    var storeLoads = 0
+        private set
+
+    /** What callers saw, by model and adapter. */
+    val outcomes = LinkedHashMap<CopyName, CopyOutcome>()
 
     init {
         view.adopt(catalog())
@@ -115,20 +147,50 @@
     }
 
     private fun listEngines() {
-        view.adopt(engines.fold(TargetDirectory.empty()) { listed, engine -> listed.listed(engine.entry(), nowMillis) })
+        val usable = engines.filter { it.isListed }
+        view.adopt(usable.fold(TargetDirectory.empty()) { listed, engine -> listed.listed(engine.entry(), nowMillis) })
+    }
+
+    private fun holds(copy: CopyName): Boolean = engines.any { it.isListed && copy.modelId in it.held }
+
+    /** Takes [count] engines and their hosts away [atMillis]. */
+    fun loseEngines(count: Int, atMillis: Long) {
+        schedule(atMillis - nowMillis) {
+            val lost = engines.filter { it.isListed }.shuffled(random).take(count)
+            lost.forEach { it.stop() }
+            listEngines()
+        }
+    }
+
+    /** Crashes [count] engines [atMillis]; they return empty [forMillis] later, with the weights on their disks. */
+    fun crashEngines(count: Int, atMillis: Long, forMillis: Long) {
+        schedule(atMillis - nowMillis) {
+            val crashed = engines.filter { it.isListed }.shuffled(random).take(count)
+            crashed.forEach { it.stop() }
+            listEngines()
+            schedule(forMillis) {
+                crashed.forEach { it.isListed = true }
+                listEngines()
+            }
+        }
     }
 
-    private fun holds(copy: CopyName): Boolean = engines.any { copy.modelId in it.held }
+    /** Lets another VM plan from [atMillis] on, which knows nothing of what the one before has observed and ordered. */
+    fun replacePlanner(atMillis: Long) {
+        schedule(atMillis - nowMillis) { planner.replace() }
+    }
 
     private fun tick() {
         vms.forEach { it.tick() }
         planner.submit { planner.coordinator.tick() }
+        if (nowMillis % REPORT_MILLIS < TICK_MILLIS) engines.forEach { it.reportProgress() }
+        if (nowMillis % DUE_LOADS_MILLIS < TICK_MILLIS) planner.submit { planner.coordinator.startDueLoads { true } }
         schedule(TICK_MILLIS, ::tick)
     }
 
-    /** Plays requests for models, [perSecond] in total and drawn by [drawModel], until [untilMillis]. */
-    fun play(untilMillis: Long, perSecond: Double, drawModel: (Random) -> Int) {
-        scheduleArrival(perSecond, drawModel)
+    /** Plays requests, [perSecond] in total and drawn by [draw], [fromMillis] [untilMillis]. */
+    fun play(untilMillis: Long, perSecond: Double, fromMillis: Long = 0, draw: (Random) -> CallerRequest) {
+        schedule(fromMillis) { scheduleArrival(perSecond, draw) }
         while (nowMillis < untilMillis) {
             val event = checkNotNull(events.poll()) { "ticks never end" }
             nowMillis = event.atMillis
@@ -136,18 +198,44 @@
         }
     }
 
-    private fun scheduleArrival(perSecond: Double, drawModel: (Random) -> Int) {
+    private fun scheduleArrival(perSecond: Double, draw: (Random) -> CallerRequest) {
         val gapMillis = -ln(1 - random.nextDouble()) / perSecond * MILLIS_PER_SECOND
         schedule(gapMillis.toLong()) {
-            vms[random.nextInt(vms.size)].onRequest(models[drawModel(random)])
-            scheduleArrival(perSecond, drawModel)
+            vms[random.nextInt(vms.size)].onRequest(draw(random))
+            scheduleArrival(perSecond, draw)
+        }
+    }
+
+    /**
+     * The weight store; a load takes as long as the number of loads that run when it starts says.
+     *
+     * An engine that stops gives up its load.
+     */
+    private inner class SimulatedStore {
+        private val loading = HashSet<SimulatedEngine>()
+
+        /** Returns how long a load started now takes, which takes [loadMillis] at full speed. */
+        fun expectedMillis(loadMillis: Long): Long =
+            loadMillis * maxOf(loading.size + 1, size.fullSpeedStoreLoads) / size.fullSpeedStoreLoads
+
+        fun load(engine: SimulatedEngine, loadMillis: Long, onLoaded: () -> Unit) {
+            val takesMillis = expectedMillis(loadMillis)
+            loading += engine
+            schedule(takesMillis, onLoaded)
+        }
+
+        fun release(engine: SimulatedEngine) {
+            loading -= engine
         }
     }
 
     private inner class SimulatedEngine(val targetId: TargetId) {
         val held = LinkedHashSet<ModelId>()
         val onDisk = LinkedHashSet<ModelId>()
-        var busyUntilMillis = 0L
+        var isListed = true
+        private var starts = 0
+        private var busyUntilMillis = 0L
+        private var storeLoad: Pair<ModelId, Long>? = null
 
         fun entry(): TargetEntry =
             TargetEntry(
@@ -155,21 +243,51 @@
                 held.associateWith { HeldModel(it, 1, emptySet()) }, HostWeights(onDisk = onDisk.toSet()),
             )
 
+        fun stop() {
+            isListed = false
+            held.clear()
+            starts++
+            busyUntilMillis = 0
+            storeLoad = null
+            store.release(this)
+        }
+
+        /** Reports the load from the store to the planner, as the owner of the engine does. */
+        fun reportProgress() {
+            val (modelId, sinceMillis) = storeLoad ?: return
+            val load = StoreLoad(modelId, nowMillis - sinceMillis)
+            planner.submit { planner.coordinator.recordStoreLoad(service, targetId, load) }
+        }
+
         fun load(plan: LoadPlan): Long? {
             if (busyUntilMillis > nowMillis) return null
             held -= plan.victims.toSet()
+            loads++
+            if (plan.modelId !in onDisk) storeLoads++
             val evictionMillis = if (plan.victims.isEmpty()) 0 else EVICTION_MILLIS
-            val loadMillis = checkNotNull(specs[plan.modelId]).loadMillisFrom(sourceOf(plan.modelId)) + evictionMillis
-            busyUntilMillis = nowMillis + loadMillis
+            val model = checkNotNull(specs[plan.modelId])
+            val loaded = starts.let { start -> { if (start == starts) onLoaded(plan.modelId) } }
             listEngines()
-            schedule(loadMillis) { onLoaded(plan.modelId) }
-            return loadMillis
+            if (plan.modelId in onDisk) {
+                val loadMillis = evictionMillis + model.loadMillisFrom(WeightsSource.HOST_DISK)
+                busyUntilMillis = nowMillis + loadMillis
+                schedule(loadMillis, loaded)
+                return loadMillis
+            }
+            busyUntilMillis = Long.MAX_VALUE
+            val start = starts
+            schedule(evictionMillis) {
+                if (start != starts) return@schedule
+                storeLoad = plan.modelId to nowMillis
+                store.load(this, model.loadMillis, loaded)
+            }
+            return evictionMillis + store.expectedMillis(model.loadMillis)
         }
 
-        private fun sourceOf(modelId: ModelId) =
-            if (modelId in onDisk) WeightsSource.HOST_DISK else WeightsSource.STORE
-
         private fun onLoaded(modelId: ModelId) {
+            busyUntilMillis = nowMillis
+            storeLoad = null
+            store.release(this)
             held += modelId
             onDisk += modelId
             listEngines()
@@ -183,7 +301,10 @@
         private val inbox = ArrayDeque<() -> Unit>()
         private var isBusy = false
         private var startLookups = 0L
-        val coordinator = ModelLoadCoordinator(
+        var coordinator = newCoordinator()
+            private set
+
+        private fun newCoordinator() = ModelLoadCoordinator(
             view,
             { nowMillis + if (isBusy) elapsedMillis() else 0 },
             DecisionLog(clock, EntryMetrics()),
@@ -191,6 +312,10 @@
             PrefillSpeedEstimator(),
         ).also { it.transport = this }
 
+        fun replace() {
+            coordinator = newCoordinator()
+        }
+
         private fun elapsedMillis(): Long =
             ((specs.lookups - startLookups) * lookupMicros / MICROS_PER_MILLI).toLong()
 
@@ -212,7 +337,9 @@
 
         override fun order(number: Long, plan: LoadPlan): Boolean {
             schedule(elapsedMillis() + NETWORK_MILLIS) {
-                val readyInMillis = engines.first { it.targetId == plan.targetId }.load(plan)
+                val engine = engines.first { it.targetId == plan.targetId }
+                if (!engine.isListed) return@schedule
+                val readyInMillis = engine.load(plan)
                 schedule(NETWORK_MILLIS) {
                     submit { coordinator.onAnswer(CopyAnswer(number, readyInMillis, plan.targetId, "busy")) }
                 }
@@ -227,24 +354,39 @@
     }
 
     private inner class SimulatedVm(val name: String) : CopyRequestTransport, PendingRequests {
-        private val waitingUntilMillis = LinkedHashMap<CopyName, MutableList<Long>>()
+        private val waiting = LinkedHashMap<CopyName, MutableList<WaitingCaller>>()
         val copies = CopyRequestTracker(view, clock, DecisionLog(clock, EntryMetrics()), numbers).also {
             it.transport = this
-            it.waiting = this
+            it.waiting = this@SimulatedVm
         }
 
-        fun onRequest(modelId: ModelId) {
-            val copy = CopyName(modelId)
-            val outcome = outcomes.getOrPut(modelId, ::ModelOutcome)
+        fun onRequest(request: CallerRequest) {
+            val copy = request.copy.model
+            val outcome = outcomes.getOrPut(request.copy, ::CopyOutcome)
             outcome.arrivedAtMillis += nowMillis
-            planner.submit { planner.coordinator.recordDemand(service, copy, ArrivedRequests(1, 0)) }
+            planner.submit { planner.coordinator.recordDemand(service, request.copy, ArrivedRequests(1, 0)) }
             if (holds(copy)) {
                 outcome.served++
                 return
             }
             val availability = copies.request(requirementsOf(copy), emptyList())
-            val isInTime = availability is CopyAvailability.Expected && availability.readyInMillis <= PATIENCE_MILLIS
-            if (isInTime) waitingUntilMillis.getOrPut(copy) { ArrayList() } += nowMillis + PATIENCE_MILLIS
+            val isInTime =
+                availability is CopyAvailability.Expected && availability.readyInMillis <= request.patienceMillis
+            if (!isInTime) return onRefused(request)
+            waiting.getOrPut(copy) { ArrayList() } += WaitingCaller(request, nowMillis + request.patienceMillis)
+        }
+
+        private fun onRefused(request: CallerRequest) {
+            if (request.retries == 0) return
+            val repeat =
+                CallerRequest(request.model, request.adapter, request.patienceMillis, request.retries - 1)
+            schedule(RETRY_AFTER_MILLIS) { vms[random.nextInt(vms.size)].onRequest(repeat) }
+        }
+
+        private fun refuse(copy: CopyName, isRefused: (WaitingCaller) -> Boolean) {
+            val refused = waiting[copy]?.filter(isRefused).orEmpty()
+            waiting[copy]?.removeAll(refused)
+            refused.forEach { onRefused(it.request) }
         }
 
         private fun requirementsOf(copy: CopyName) = TargetRequirements(service, copy, "$copy", emptySet(), 1_000)
@@ -255,15 +397,15 @@
         }
 
         private fun serve(copy: CopyName) {
-            val served = waitingUntilMillis.remove(copy)?.count { it >= nowMillis } ?: return
-            outcomes.getValue(copy.modelId).served += served
+            waiting.remove(copy).orEmpty().filter { it.untilMillis >= nowMillis }
+                .forEach { outcomes.getValue(it.request.copy).served++ }
         }
 
         fun tick() {
             copies.tick()
-            waitingUntilMillis.values.forEach { waiting -> waiting.removeIf { it < nowMillis } }
-            waitingUntilMillis.values.removeIf { it.isEmpty() }
-            waitingUntilMillis.keys.filter(::holds).forEach(::serve)
+            waiting.keys.toList().forEach { copy -> refuse(copy) { it.untilMillis < nowMillis } }
+            waiting.values.removeIf { it.isEmpty() }
+            waiting.keys.filter(::holds).forEach(::serve)
         }
 
         override fun requestFromOwner(number: Long, targetId: TargetId, copy: CopyName): Boolean = false
@@ -276,24 +418,25 @@
         }
 
         override fun requirementsOrNull(copy: CopyName): TargetRequirements? =
-            if (copy in waitingUntilMillis) requirementsOf(copy) else null
+            if (waiting[copy].isNullOrEmpty()) null else requirementsOf(copy)
 
         override fun modelHolders(requirements: TargetRequirements): List<KnownTarget> = emptyList()
 
-        override fun refuse(requirements: TargetRequirements) {
-            waitingUntilMillis -= checkNotNull(requirements.copy) { "all requests are for models" }
-        }
+        override fun refuse(requirements: TargetRequirements): Unit =
+            refuse(checkNotNull(requirements.copy) { "all requests are for models" }) { true }
 
-        override fun refuseExpiringBefore(copy: CopyName, atMillis: Long) {
-            waitingUntilMillis[copy]?.removeIf { it < atMillis }
-        }
+        override fun refuseExpiringBefore(copy: CopyName, atMillis: Long): Unit =
+            refuse(copy) { it.untilMillis < atMillis }
     }
 
     private companion object {
         const val TICK_MILLIS = 20L
+        const val DUE_LOADS_MILLIS = 1_000L
+        const val REPORT_MILLIS = 240L
         const val NETWORK_MILLIS = 3L
         const val EVICTION_MILLIS = 500L
         const val PATIENCE_MILLIS = 8_000L
+        const val RETRY_AFTER_MILLIS = 1_000L
         const val SLOTS = 24
         const val ADAPTER_SLOTS = 8
         const val LOADS_PER_SECOND = 26.0
