Give each waiting model its turn, whatever the demand for it

Which rule gave each its turn? None: a miss counted in proportion to the demand for the model, so one with a seventh of another's demand needed some 17 refusals more to draw level, while the other's refusals went on.

Every request that found no copy now counts the same, and the more the longer ago the first of them is; a load starts the count anew. This decides who is loaded next.

The test in ModelPlannerTest fails with the order by gain.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlannerSettings.kt
@@ -37,7 +37,8 @@
  * @property urgentGain the gain from which a load is urgent: it may evict recently loaded models, and a first copy may
  * exceed the limits of [maxLoads] and [maxLoadingFraction] by [extraUrgentLoads].
  * @property extraUrgentLoads the number of additional concurrent loads from the store for urgent models.
- * @property missWeight the fraction of a model's demand that each request without a copy adds to the gain.
+ * @property missWeight the gain in requests per second that each request without a copy adds.
+ * @property missAgingMillis the time of waiting after which each of these requests counts twice.
  * @property minResidenceMillis the minimum time for which a loaded model stays, so that waiting requests are sent to
  * it.
  * @property missWindowMillis the time for which a model counts as requested after a request that found no copy.
@@ -68,6 +69,7 @@
     val urgentGain: Double = 1.5,
     val extraUrgentLoads: Int = 2,
     val missWeight: Double = 0.35,
+    val missAgingMillis: Long = 5_000,
     val minResidenceMillis: Long = 1_500,
     val missWindowMillis: Long = 6_000,
     val evictionMillis: Long = 1_000,
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelValues.kt
@@ -18,6 +18,7 @@
     private val demands = HashMap<ModelId, Double>()
     private val neededCopies = HashMap<ModelId, Int>()
     private val gains = HashMap<ModelId, Double>()
+    private val priorities = HashMap<ModelId, Double>()
     private val copyValues = HashMap<ModelId, Double>()
     private val elapsedMillis = nowMillis - (state.firstRequestMillis ?: nowMillis)
 
@@ -75,6 +76,23 @@
 
     private fun missesOf(modelId: ModelId): Int = state.misses[modelId]?.count ?: 0
 
+    /**
+     * Returns the priority of a load of [model] over others, which is its gain unless requests found no copy.
+     *
+     * Each of these requests counts the same, whatever the demand for the model, and the longer ago the first of them
+     * is, the more. A model that is loaded starts anew. So each waiting model gets its turn, however many others are
+     * requested more often.
+     */
+    fun priorityOf(model: ModelSpec): Double = priorities.getOrPut(model.modelId) { computePriority(model) }
+
+    private fun computePriority(model: ModelSpec): Double {
+        val misses = state.misses[model.modelId]
+        if (misses == null || misses.count == 0 || copiesAndLoadsOf(model.modelId) > 0) return gainOf(model)
+        val waitedMillis = (nowMillis - misses.firstMillis).toDouble()
+        val agingFactor = 1 + waitedMillis / settings.missAgingMillis
+        return demandPerSecond(model.modelId) + settings.missWeight * misses.count * agingFactor
+    }
+
     /** Returns the requests per second that would be lost or slowed down if one copy of [modelId] were evicted. */
     fun valueOf(modelId: ModelId): Double = copyValues.getOrPut(modelId) { computeValue(modelId) }
 
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
@@ -95,7 +95,7 @@
 
     /** The models that need a copy for which no load is running, with the highest gain per size first. */
     val candidates: List<ModelSpec> by lazy {
-        spec.models.values.filter(::lacksCopy).sortedByDescending { values.gainOf(it) / it.weightsMegabytes }
+        spec.models.values.filter(::lacksCopy).sortedByDescending { values.priorityOf(it) / it.weightsMegabytes }
     }
 
     /** The candidates to evaluate for the next load, in their order; those that hosts cache hide none of the others. */
--- a/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/placement/ModelPlannerTest.kt
@@ -366,6 +366,15 @@
         assertEquals(listOf("m0", "m1"), listOf(first, nextPlan(*engines)).map { it?.modelId?.value })
     }
 
+    @Test
+    fun `a model that has waited long is loaded before one with more demand that has not`() {
+        simulateDemand("m0", 0.1)
+        simulateDemand("m1", 2.0)
+        repeat(3) { planner.recordMiss(ModelId("m0"), NOW_MILLIS - 20_000) }
+        recordMiss("m1")
+        assertEquals(ModelId("m0"), nextPlan(engine("i-1", "m5", "m6"))?.modelId)
+    }
+
     @Test
     fun `models that hosts cache hide none that only the store has, however many they are`() {
         val many = (0 until 400).map { model("b$it") }
