Let a refused adapter have its turn while all adapter places are in use

Cause: an adapter in use is not evicted, so whoever has a place keeps it while it is used.

An adapter that has been refused for 4 s makes the one that was loaded longest ago drain: the owner announces that it leaves, as before an unload, declines requests for it, and unloads it once it is idle, as it does with any idle adapter. No adapter in use is unloaded, so the number of places that count as taken is as before. One drains at a time, for at most 4 s, and keeps its place if its requests don't end.

AdapterTurnTest failed before (8 of 10 adapters served on 8 places, two never) and passes: no gap over 12 s, nine tenths of the possible service. Ruled out: unloading an adapter in use, which does not make the engine busy and needs a report before the next load.

--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManager.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManager.kt
@@ -23,6 +23,7 @@
     private val inventory = CopyInventory(spec, settings)
     private val copies = inventory.copies
     private val pendingRequests = LinkedHashMap<CopyName, PendingCopyRequest>()
+    private val adapterTurns = AdapterTurns(settings)
     private var engineStartEpochMillis: Long? = null
     private var expectedOrders = 0L
     private var isStateKnown = false
@@ -199,20 +200,34 @@
      */
     public fun request(copy: CopyName, nowMillis: Long, victims: List<ModelId> = emptyList()): CopyRequestResult {
         val known = copies[copy]
-        if (known?.phase == CopyPhase.HELD) return CopyRequestResult.Ready
+        if (known?.phase == CopyPhase.HELD) {
+            val isDraining = adapterTurns.isDraining(copy, nowMillis)
+            return if (isDraining) CopyRequestResult.Declined(CopyDeclineReason.NO_ROOM) else CopyRequestResult.Ready
+        }
         if (known?.phase == CopyPhase.LOADING) {
             return CopyRequestResult.Pending((known.readyAtMillis - nowMillis).coerceAtLeast(1))
         }
         val request = PendingCopyRequest(nowMillis, victims.map { CopyName(it) })
         val declined = declineReasonOrNull(copy, request, nowMillis)
-        if (declined != null) {
+        val waitsForTurn = declined == CopyDeclineReason.NO_ROOM && waitsForTurn(copy, nowMillis)
+        if (declined != null && !waitsForTurn) {
             pendingRequests -= copy
             return CopyRequestResult.Declined(declined)
         }
         pendingRequests[copy] = request
-        return CopyRequestResult.Pending(expectedMillis(copy) + engineBusyMillis(copy, nowMillis))
+        val turnMillis = if (waitsForTurn) settings.adapterDrainMillis else 0
+        return CopyRequestResult.Pending(expectedMillis(copy) + engineBusyMillis(copy, nowMillis) + turnMillis)
+    }
+
+    /** Returns whether an adapter in use makes room for the adapter [copy], for which all places are in use. */
+    private fun waitsForTurn(copy: CopyName, nowMillis: Long): Boolean {
+        val held = copies.filterKeys { it.isAdapter }
+        return copy.isAdapter && held.size >= spec.adapterSlots && adapterTurns.onRefused(copy, held, nowMillis)
     }
 
+    /** Returns the adapter that is to get no new requests from now on, once, or `null` if there is none. */
+    public fun takeDrainingAdapterOrNull(nowMillis: Long): CopyName? = adapterTurns.takeDrainingOrNull(nowMillis)
+
     /** Returns how long the engine is busy with a model that is loading or was requested before the adapter [copy]. */
     private fun engineBusyMillis(copy: CopyName, nowMillis: Long): Long {
         if (!copy.isAdapter) return 0
@@ -333,6 +348,7 @@
         copy.phase = if (isLoadInProgress) CopyPhase.LOADING else CopyPhase.HELD
         copy.lastUsedAtMillis = nowMillis
         copy.loadStartedAtMillis = nowMillis
+        if (order.copy.isAdapter) adapterTurns.onLoaded(order.copy)
         copy.isLoadedFromStore = hostWeights.sourceOf(order.copy.modelId) == WeightsSource.STORE
         copy.readyAtMillis = nowMillis + loadMillis(order.copy)
         nextOrderMillis = nowMillis + if (order.copy.isAdapter) settings.adapterLoadMillis else 0
--- a/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManagerSettings.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/EngineCopyManagerSettings.kt
@@ -7,6 +7,10 @@
  * @property evictionMillis the average time until a model has finished its running requests and is unloaded.
  * @property modelIdleMillis the time for which a model must be unused before it may be evicted.
  * @property adapterIdleMillis the time for which an adapter must be unused before it may be evicted.
+ * @property adapterTurnMillis the time for which an adapter is refused before another one makes room for it, and the
+ * minimum time for which an adapter keeps its place.
+ * @property adapterDrainMillis the maximum time until the requests for a draining adapter have ended.
+ * @property adapterRefusalMemoryMillis the time after which a refused adapter counts as not refused.
  * @property conflictRetryMillis the delay before an order that conflicted with another one is sent again.
  * @property retryMillis the delay before an order without a response is sent again. It also applies after a rejected
  * order and after several conflicts in a row.
@@ -19,6 +23,9 @@
     val evictionMillis: Long = 500,
     val modelIdleMillis: Long = 3_000,
     val adapterIdleMillis: Long = 600,
+    val adapterTurnMillis: Long = 4_000,
+    val adapterDrainMillis: Long = 4_000,
+    val adapterRefusalMemoryMillis: Long = 30_000,
     val conflictRetryMillis: Long = 8,
     val retryMillis: Long = 150,
     val reportLagMillis: Long = 2_500,
--- a/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/ModelPlanner.kt
@@ -73,8 +73,8 @@
  * to other models, and more adapters of a busy model in use than an engine has adapter slots. The value of a copy is
  * the number of requests per second that would be lost without it. A model needs as many copies as its load and its
  * adapters require; further copies have almost no value. The copies with the lowest value per size are evicted for the
- * model with the highest gain. Among the models that wait for a load, the one with the highest gain is loaded first,
- * regardless of the order of the requests.
+ * model with the highest gain. Among the models that wait for a load, the one with the highest priority is loaded
+ * first: requests that found no copy count the more the longer the model waits, so that each model gets its turn.
  *
  * A load from the weight store takes many times as long as a load from a host cache, and it blocks the engine
  * meanwhile. Therefore a model waits for an engine whose host caches it unless the store is faster, and models that no
@@ -146,7 +146,7 @@
      * Returns the expected time in milliseconds until a copy of [modelId] is loaded, or `null` if no engine would evict
      * enough models for it.
      *
-     * The model must not be held by any engine. Models with a higher gain per size are expected to be loaded first.
+     * The model must not be held by any engine. Models with a higher priority per size are expected first.
      */
     public fun expectedMillisOrNull(
         modelId: ModelId,
--- a/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/placement/PlacementEvaluator.kt
@@ -93,7 +93,7 @@
     val hasFreeEngine: Boolean
         get() = freeEngines.isNotEmpty()
 
-    /** The models that need a copy for which no load is running, with the highest gain per size first. */
+    /** The models that need a copy for which no load is running, with the highest priority per size first. */
     val candidates: List<ModelSpec> by lazy {
         spec.models.values.filter(::lacksCopy).sortedByDescending { values.priorityOf(it) / it.weightsMegabytes }
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
@@ -83,6 +83,7 @@
         val target = view.directory.targets[targetId] ?: return null
         if (!view.takesOrders(target)) return CopyRequestResult.Declined(CopyDeclineReason.BUSY)
         val result = engine.copyManager.request(copy, clock.nowMillis(), victims)
+        engine.copyManager.takeDrainingAdapterOrNull(clock.nowMillis())?.let { onCopyUnloading(target, it) }
         if (result is CopyRequestResult.Pending) {
             engine.awaitedCopies += copy
             advance(targetId, engine)
