--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/PlanningFleet.kt
@@ -96,7 +96,11 @@
     private val random = Random(seed)
     private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
     private var eventNumber = 0L
-    private var nowMillis = 0L
+
+    /** The virtual time. */
+    var nowMillis = 0L
+        private set
+
     private val service = ServiceName("llm")
     private val models = List(size.models) { ModelId("m$it") }
     private val specs = CountingMap(models.associateWith { ModelSpec(it, 72_700.0, 8_970, 1_700, 0, 66.0, 810) })
--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/StarvedModelsTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/StarvedModelsTest.kt
@@ -50,11 +50,11 @@
     fun `models that no host caches are served too`(seed: Int) = assertFewStarveOnEvenDemand(seed, cachedModels = 440)
 
     /** Few models get most requests, callers of the others wait long, and a refused request is repeated once. */
-    private fun skewedRequest(random: Random): PlanningFleet.CallerRequest {
+    private fun skewedRequest(random: Random, firstBusy: Int = 0): PlanningFleet.CallerRequest {
         val share = random.nextDouble()
         return when {
-            share < BUSIEST_SHARE -> busyRequest(random.nextInt(18), patienceMillis = 8_000, random)
-            share < BUSY_SHARE -> busyRequest(random.nextInt(18, 45), patienceMillis = 12_000, random)
+            share < BUSIEST_SHARE -> busyRequest(firstBusy + random.nextInt(18), patienceMillis = 8_000, random)
+            share < BUSY_SHARE -> busyRequest(firstBusy + random.nextInt(18, 45), patienceMillis = 12_000, random)
             else -> PlanningFleet.CallerRequest(random.nextInt(500), patienceMillis = 25_000, retries = 1)
         }
     }
@@ -73,7 +73,18 @@
         fleet.crashEngines(11, LEAD_MILLIS + 3_500, forMillis = 3_900)
         fleet.loseEngines(11, LEAD_MILLIS + 6_500)
         fleet.replacePlanner(LEAD_MILLIS + 20_000)
-        fleet.play(LEAD_MILLIS + DAY_MILLIS, SKEWED_REQUESTS_PER_SECOND, LEAD_MILLIS, ::skewedRequest)
+        fleet.play(LEAD_MILLIS + DAY_MILLIS, SKEWED_REQUESTS_PER_SECOND, LEAD_MILLIS) { skewedRequest(it) }
+        assertFewStarve(fleet, MIN_ASKED_SKEWED)
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `models do not starve when demand moves to others while engines are lost`(seed: Int) {
+        val fleet = fleet(seed, cachedModels = 440, fullSpeedStoreLoads = 2)
+        fleet.loseEngines(11, LEAD_MILLIS + 6_500)
+        fleet.play(LEAD_MILLIS + DAY_MILLIS, SKEWED_REQUESTS_PER_SECOND, LEAD_MILLIS) {
+            skewedRequest(it, firstBusy = if (fleet.nowMillis < LEAD_MILLIS + SHIFT_MILLIS) 0 else SHIFTED_BY)
+        }
         assertFewStarve(fleet, MIN_ASKED_SKEWED)
     }
 
@@ -87,6 +98,8 @@
         const val BUSIEST_SHARE = 0.5
         const val BUSY_SHARE = 0.92
         const val ADAPTERS = 2
+        const val SHIFT_MILLIS = 20_000L
+        const val SHIFTED_BY = 45
 
         /** The time that a look-up takes on a third of a processor. */
         const val LOOKUP_MICROS = 1.2
