--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -115,6 +115,7 @@
  * @property weightsMegabytes memory of an engine for weights and adapters together, in megabytes.
  * @property adapterSlots maximum number of adapters that an engine holds at a time.
  * @property loadsPerSecond maximum rate at which loads from the weight store may start, over all engines together.
+ * @property memoryTokens tokens of prompts and outputs that an engine's memory holds, or `null` if it is not stated.
  */
 public data class EngineSpec(
     val slots: Int,
@@ -122,20 +123,31 @@
     val weightsMegabytes: Double,
     val adapterSlots: Int,
     val loadsPerSecond: Double,
+    val memoryTokens: Long? = null,
 )
 
+/**
+ * The limit on requests to a cold target of a service.
+ *
+ * @property requestsPerSecond requests per second that a cold target sustains, from all VMs together.
+ * @property startMillis how long a target stays cold after its start, in milliseconds.
+ */
+public data class ColdTargetLimit(val requestsPerSecond: Double, val startMillis: Long)
+
 /**
  * A service: a group of targets that serve the same requests.
  *
  * @property healthPath path of the targets' health check.
  * @property maxConnections maximum number of connections that a target accepts from all its callers together.
  * @property engine the capabilities of the service's engines, or `null` for a plain service.
+ * @property coldLimit the limit on requests to a cold target, or `null` if cold targets need no limit.
  */
 public data class Service(
     val name: ServiceName,
     val healthPath: String,
     val maxConnections: Int,
     val engine: EngineSpec?,
+    val coldLimit: ColdTargetLimit? = null,
 )
 
 /**
--- a/core/src/main/kotlin/org/banyanturn/core/serving/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/TargetDirectory.kt
@@ -17,6 +17,8 @@
  * not stated.
  * @property remainingMillis time until a target that is being removed stops, in milliseconds, or `null`.
  * @property hostWeights the weights that the target's host has cached.
+ * @property coldMillis how much longer the target stayed cold when it wrote the entry, in milliseconds, or `null` if it
+ * was not cold.
  */
 public data class TargetEntry(
     val targetId: TargetId,
@@ -29,6 +31,7 @@
     val remainingMillis: Long?,
     val heldModels: Map<ModelId, HeldModel>,
     val hostWeights: HostWeights = HostWeights(),
+    val coldMillis: Long? = null,
 )
 
 /**
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
@@ -60,6 +60,7 @@
     @ProtoNumber(8) val heldModels: List<HeldModelMessage> = emptyList(),
     @ProtoNumber(9) val inMemory: List<String> = emptyList(),
     @ProtoNumber(10) val onDisk: List<String> = emptyList(),
+    @ProtoNumber(11) val coldMillis: Long? = null,
 ) {
     /** Returns the entry of the target with the id [key]. */
     fun toEntry(key: String): TargetEntry =
@@ -77,6 +78,7 @@
                 inMemory.mapTo(LinkedHashSet(), ::ModelId),
                 onDisk.mapTo(LinkedHashSet(), ::ModelId),
             ),
+            coldMillis = coldMillis,
         )
 }
 
@@ -120,6 +122,7 @@
         },
         inMemory = hostWeights.inMemory.map { it.value },
         onDisk = hostWeights.onDisk.map { it.value },
+        coldMillis = coldMillis,
     )
 
 /** Returns the page encoded in [bytes], or `null` if they are malformed. */
