Assign each free port to one process only

Each VM's ports are drawn at random before any VM listens, so two VMs can get the same port; the test fixture of the entry VM took ports from the range of outgoing connections. Evidence: the failure's last lines name a BindException, and 20 draws out of 20,000 ports collide in about one run of a hundred. The colliding port is not in the log, so this cause fits but is not proven. Change: ports that were assigned before are not assigned again, and the entry fixture uses ports below the range of outgoing connections.

--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
@@ -12,6 +12,7 @@
 import java.net.http.HttpResponse
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -42,28 +43,36 @@
    "burst": RATE}]}
 """
 
+/** Ports that were given to a fixture of this process; its VM may not have started yet. */
+private val assignedPorts: MutableSet<Int> = ConcurrentHashMap.newKeySet()
+
 /** Runs an entry VM in this process, against a stand-in of the platform with two engines and a plain service. */
 internal class EntryFixture : AutoCloseable {
     val platform = HostedPlatformStandin()
 
     /** The port at which the VM takes callers' requests. */
-    val callerPort = freePort()
-    private val readinessPort = freePort()
+    val callerPort = freePortRange(count = 1)
+    private val readinessPort = freePortRange(count = 1)
 
     /** The port at which the VM takes datagrams of other VMs. */
-    val peerPort = freePortRange()
+    val peerPort = freePortRange(count = 3)
     private val client = HttpClient.newHttpClient()
     private var process: EntryProcess? = null
     private val ended = CompletableFuture<Unit>()
 
-    private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
-    /** Returns the first of three consecutive free ports, below the range from which the system assigns ports. */
-    private fun freePortRange(): Int =
+    /**
+     * Returns the first of [count] consecutive free ports.
+     *
+     * They lie below the range from which the system assigns ports to outgoing connections, one of which could take the
+     * port before the VM listens there.
+     */
+    private fun freePortRange(count: Int): Int =
         generateSequence { Random.nextInt(MIN_PORT, MAX_PORT) }.first { port ->
-            (port..port + 2).all { runCatching { ServerSocket(it).close() }.isSuccess }
+            (port until port + count).all { assignedPorts.add(it) && isFree(it) }
         }
 
+    private fun isFree(port: Int): Boolean = runCatching { ServerSocket(port).close() }.isSuccess
+
     private fun document(version: Int = 1, keys: String = "\"k1\"", rate: Int = 100_000): String =
         DOCUMENT.replace("VERSION", "$version").replace("KEYS", keys).replace("RATE", "$rate")
 
