Follow the store's epoch, and keep numbers of orders from going back with it

Cause: the store may be restored from a copy some seconds old. Change: HostedStore reads Store-Era from every answer, and answers of an earlier epoch are not used. The log of targets starts anew in a new epoch; what is known of an incarnation stays in use until its next record. The fencing number is the epoch in the high-order part and the generation. After a rise a VM owns nothing until it has joined again, and then waits for the lease of former owners as well. Ruled out: comparing generations alone, since two timelines of the store use the same ones.

--- a/core/src/test/kotlin/org/banyanturn/core/relay/ChangeLogTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/relay/ChangeLogTest.kt
@@ -52,6 +52,40 @@
         assertEquals(ChangesSince.Available(listOf(entry("a", "ready", 9)), 10), skipped.since(behind.nextOffset))
     }
 
+    @Test
+    fun `a log restarted after a rollback has exactly the keys of the snapshot, and readers must start again`() {
+        val restarted = initial.restarted(
+            listOf(entry("b", "old", 4), entry("c", "new", 5)),
+            nextOffset = 6,
+            epoch = 1,
+        ) {
+                known,
+                listed,
+            ->
+            known ?: listed
+        }
+        assertEquals(ChangesSince.SnapshotRequired, restarted.since(8, epoch = 0), "an offset of the former epoch")
+        assertEquals(ChangesSince.SnapshotRequired, restarted.since(5, epoch = 1), "an offset before the snapshot")
+        assertEquals(mapOf("b" to "ready", "c" to "new"), restarted.valuesByKey())
+        val repeated = restarted.advanced(listOf(entry("b", "ready", 6), entry("a", "ready", 7)), nextOffset = 8)
+        assertEquals(ChangesSince.Available(listOf(entry("a", "ready", 7)), 8), repeated.since(6, epoch = 1))
+    }
+
+    @Test
+    fun `a key removed before a rollback stays removed in the older snapshot until its next record`() {
+        val removed = initial.advanced(listOf(entry("a", null, 8)), nextOffset = 9)
+        val restarted = removed.restarted(listOf(entry("a", "ready", 3)), nextOffset = 4, epoch = 1) { known, _ ->
+            known
+        }
+        assertEquals(emptyMap<String, String>(), restarted.valuesByKey())
+        val again = restarted.restarted(listOf(entry("a", "ready", 3)), nextOffset = 4, epoch = 2) { known, _ -> known }
+        assertEquals(emptyMap<String, String>(), again.valuesByKey(), "after a second rollback")
+        assertEquals(
+            mapOf("a" to "ready"),
+            again.advanced(listOf(entry("a", "ready", 4)), nextOffset = 5).valuesByKey(),
+        )
+    }
+
     /** VMs that switch between several readers and the topic itself end with the values of the topic. */
     @Test
     fun `followers that switch between readers at any time converge to the topic`() {
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -108,6 +108,18 @@
     /** A request was sent to find out whether the blocked parts of its prompt crash targets. */
     PROMPT_PART_PROBED(1127, Level.INFO, "a request with a blocked part of a prompt was sent as a probe"),
 
+    /** The platform's store was restored from an older copy of itself. */
+    STORE_ROLLED_BACK(1130, Level.WARN, "the platform's store was restored from an older copy; its data are read anew"),
+
+    /** A response of the platform's store states an epoch that can't be read or is not credible yet. */
+    STORE_EPOCH_UNREADABLE(1131, Level.WARN, "the epoch in a response of the platform's store was ignored"),
+
+    /** The list of targets was read anew after the store was restored from an older copy. */
+    TARGETS_REREAD(1132, Level.WARN, "the list of targets has gone back and was read anew"),
+
+    /** A rollback of the store has ended what this VM owned; it may send orders again after a wait. */
+    OWNERSHIP_ROLLED_BACK(1133, Level.WARN, "the group of VMs has gone back; this VM waits before it sends orders"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -40,6 +40,7 @@
 import org.banyanturn.entry.http.listenForSmallRequests
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.observe.StoreEpochLog
 import org.banyanturn.entry.observe.UnsolicitedBytesLog
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerLiveness
@@ -117,7 +118,7 @@
         unsolicitedBytesListener = UnsolicitedBytesLog(log, metrics),
     )
     private val exchanges = PooledHttpExchanges(connectionPool)
-    private val store = HostedStore(boot.storeAddress, exchanges)
+    private val store = HostedStore(boot.storeAddress, exchanges, epochListener = StoreEpochLog(log, metrics))
     private val ownership = Ownership(
         group = store.ownershipGroup(
             name = "banyanturn",
@@ -130,6 +131,7 @@
         outages = StoreOutageTracker("group", clock, log),
         clock = clock,
         log = log,
+        storeEpoch = store::epoch,
     )
     private val platformLists =
         PlatformLists(self, ownership, store, boot.relayPort, exchanges, view, scope, clock, log, random)
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/OwnedEngineController.kt
@@ -151,7 +151,7 @@
             field("order", order.kind.name.lowercase()),
             field("copy", order.copy),
             field("expectedOrders", order.expectedOrders),
-            field("fencingNumber", ownership.generation),
+            field("fencingNumber", ownership.fencingNumber),
             field("result", result.name.lowercase()),
         )
         engine.copyManager.onOrderAnswered(order, result, clock.nowMillis())
@@ -175,7 +175,7 @@
                 modelId = order.copy.modelId,
                 adapterId = order.copy.adapterId,
                 holder = vmName,
-                fencingNumber = ownership.generation,
+                fencingNumber = ownership.fencingNumber,
                 expectedOrders = order.expectedOrders,
             ),
         )
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -35,6 +35,7 @@
 ) {
     private val retry = RetryBackoff(random)
     private var nextOffset: Long? = null
+    private var epoch = 0L
 
     /** The document of the current catalog, for peers that can't reach the store, or `null` while there is none. */
     var document: String? = null
@@ -62,6 +63,7 @@
                 outages.onSuccess()
                 snapshot.records.forEach { applyRecord(it, "store") }
                 nextOffset = snapshot.nextOffset
+                epoch = snapshot.epoch
                 true
             },
             failure = {
@@ -77,7 +79,9 @@
         }
         outages.onSuccess()
         when (changes) {
-            is KeyedChanges.Records -> {
+            is KeyedChanges.Records -> if (changes.epoch != epoch) {
+                nextOffset = null
+            } else {
                 changes.records.forEach { applyRecord(it, "store") }
                 nextOffset = changes.nextOffset
             }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
@@ -48,7 +48,7 @@
     /** Responds to [request] through [respond]: at once, or when the list changes or the wait time has passed. */
     fun handle(request: FullHttpRequest, respond: (SmallResponse) -> Unit) {
         val query = QueryStringDecoder(request.uri()).parameters()
-        val from = query["from"]?.firstOrNull()?.toLongOrNull()
+        val from = query.position()
         val waitMillis = query["wait"]?.firstOrNull()?.toLongOrNull()?.coerceIn(0, MAX_WAIT_MILLIS) ?: 0
         val mustWait = from != null && isUpToDate() && waitMillis > 0 && hasNoChanges(from)
         if (mustWait) {
@@ -58,15 +58,27 @@
         }
     }
 
+    /** Returns the position that is asked for; VMs of a version without epochs state only an offset. */
+    private fun Map<String, List<String>>.position(): FeedPosition? {
+        val offset = this["from"]?.firstOrNull()?.toLongOrNull() ?: return null
+        return FeedPosition(offset, this["epoch"]?.firstOrNull()?.toLongOrNull() ?: follower.changeLog.epoch)
+    }
+
     private fun isUpToDate(): Boolean = follower.ageMillis() <= MAX_AGE_MILLIS && isCatalogUpToDate()
 
-    private fun hasNoChanges(from: Long): Boolean =
-        (follower.changeLog.since(from) as? ChangesSince.Available)?.changes?.isEmpty() == true
+    private fun hasNoChanges(from: FeedPosition): Boolean =
+        (follower.changeLog.since(from.offset, from.epoch) as? ChangesSince.Available)?.changes?.isEmpty() == true
 
-    private fun responseTo(from: Long?): SmallResponse {
+    private fun responseTo(from: FeedPosition?): SmallResponse {
         if (!isUpToDate()) return SmallResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        val changes = if (from == null) follower.changeLog.snapshot() else follower.changeLog.since(from)
-        val listing = TargetListing(changes, follower.ageMillis(), follower.mayHaveLapsed)
+        val changeLog = follower.changeLog
+        val listing = TargetListing(
+            if (from == null) changeLog.snapshot() else changeLog.since(from.offset, from.epoch),
+            follower.ageMillis(),
+            follower.mayHaveLapsed,
+            epoch = changeLog.epoch,
+            endOffset = changeLog.nextOffset,
+        )
         return SmallResponse(HttpResponseStatus.OK, listing.encode(catalogVersion()), CONTENT_TYPE)
     }
 
@@ -95,8 +107,11 @@
     }
 }
 
-/** Represents a long poll that waits for a change at or after the offset [from]. */
-private class PendingPoll(val from: Long, val expiresAtMillis: Long, val respond: (SmallResponse) -> Unit)
+/** An offset in the list of targets, in an epoch of the store. */
+private data class FeedPosition(val offset: Long, val epoch: Long)
+
+/** Represents a long poll that waits for a change at or after [from]. */
+private class PendingPoll(val from: FeedPosition, val expiresAtMillis: Long, val respond: (SmallResponse) -> Unit)
 
 /** Reads the list of targets from the VM at [address]. */
 internal class PeerTargetList(
@@ -106,8 +121,8 @@
 ) : TargetListSource {
     override suspend fun snapshot(): Result<TargetListing, StoreError> = request(query = "", waitMillis = 0)
 
-    override suspend fun since(offset: Long, waitMillis: Long): Result<TargetListing, StoreError> =
-        request("?from=$offset&wait=$waitMillis", waitMillis)
+    override suspend fun since(offset: Long, epoch: Long, waitMillis: Long): Result<TargetListing, StoreError> =
+        request("?from=$offset&wait=$waitMillis&epoch=$epoch", waitMillis)
 
     private suspend fun request(query: String, waitMillis: Long): Result<TargetListing, StoreError> {
         val call =
@@ -131,5 +146,5 @@
     } else {
         ChangesSince.Available(this.changes.map { it.toChange() }, nextOffset)
     }
-    return TargetListing(changes, ageMillis, mayHaveLapsed)
+    return TargetListing(changes, ageMillis, mayHaveLapsed, epoch = epoch, endOffset = endOffset)
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
@@ -25,6 +25,8 @@
  * @property ageMillis how long ago the platform's store is known to have held this list.
  * @property mayHaveLapsed whether missing entries may have expired because of an outage of the store.
  * @property catalogVersion the version of the sender's catalog, or -1 if it has none.
+ * @property epoch the store's epoch, to which the offsets belong; 0 also from a VM of a version without epochs.
+ * @property endOffset the offset at which the sender's own list ends, or `null` from a VM of such a version.
  */
 @Serializable
 internal class TargetFeedPage(
@@ -34,6 +36,8 @@
     @ProtoNumber(4) val mayHaveLapsed: Boolean = false,
     @ProtoNumber(5) val catalogVersion: Long = -1,
     @ProtoNumber(6) val changes: List<EntryChangeMessage> = emptyList(),
+    @ProtoNumber(7) val epoch: Long = 0,
+    @ProtoNumber(8) val endOffset: Long? = null,
 )
 
 /** Represents a target's entry as of [offset], or its removal if [entry] is `null`. */
@@ -104,6 +108,8 @@
         mayHaveLapsed = mayHaveLapsed,
         catalogVersion = catalogVersion,
         changes = available?.changes.orEmpty().map { EntryChangeMessage(it.key, it.offset, it.value?.toMessage()) },
+        epoch = epoch,
+        endOffset = endOffset,
     )
     return encodeMessage(TargetFeedPage.serializer(), page)
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFollower.kt
@@ -31,7 +31,19 @@
     val peerWaitMillis: Long = 700,
 )
 
-/** Keeps the list of targets in [view] up to date, from the platform's store or from the zone's reader. */
+/**
+ * How much older than its response the store's own list may be, by which VMs date it: the longest call to the store.
+ * A reader whose list is younger than this VM's by more than that, and ends earlier, has read a rolled-back store.
+ */
+private const val MAX_LIST_DELAY_MILLIS = 2_000L
+
+/**
+ * Keeps the list of targets in [view] up to date, from the platform's store or from the zone's reader.
+ *
+ * After a rollback of the store, which a higher epoch or an end before this VM's offset shows, the log begins anew with
+ * a snapshot. Its records may be seconds older than what is known, so the known state of an incarnation stays in use
+ * until the target's next record, and a target that had left does not return before it.
+ */
 internal class TargetFollower(
     private val store: TargetListSource,
     private val readerSelector: ZoneReaderSelector,
@@ -45,6 +57,8 @@
     private var changes = ChangeLog.empty<TargetEntry>()
     private var isAgeKnown = false
     private var listedAtMillis = 0L
+    private var advancedAtMillis = 0L
+    private var rolledBackAtMillis: Long? = null
 
     /** Called after each successful read. */
     var onRead: () -> Unit = {}
@@ -89,12 +103,22 @@
 
     private suspend fun readFrom(source: TargetListSource, waitMillis: Long): Boolean {
         if (changes.snapshot() == ChangesSince.SnapshotRequired) return readSnapshot(source)
-        val listing = source.since(changes.nextOffset, waitMillis).getOrElse { return false }
-        val available = listing.changes as? ChangesSince.Available ?: return readSnapshot(source)
+        val listing = source.since(changes.nextOffset, changes.epoch, waitMillis).getOrElse { return false }
+        if (listing.epoch < changes.epoch) return false
+        if (showsRollback(listing)) return readSnapshot(store, isRolledBack = true)
+        val available = listing.changes as? ChangesSince.Available
+        if (available == null || listing.epoch > changes.epoch) return readSnapshot(source)
         applyListing(changes.updatedWith(available, listing.isEveryRecord), listing)
         return true
     }
 
+    /** Returns whether [listing] of another VM ends before this VM's offset although the store had it later. */
+    private fun showsRollback(listing: TargetListing): Boolean {
+        val endOffset = listing.endOffset ?: return false
+        val isBehind = listing.epoch == changes.epoch && endOffset < changes.nextOffset
+        return isBehind && clock.nowMillis() - listing.ageMillis > advancedAtMillis + MAX_LIST_DELAY_MILLIS
+    }
+
     private fun ChangeLog<TargetEntry>.updatedWith(
         available: ChangesSince.Available<TargetEntry>,
         isEveryRecord: Boolean,
@@ -105,21 +129,51 @@
             merged(available.changes, available.nextOffset)
         }
 
-    private suspend fun readSnapshot(source: TargetListSource): Boolean {
+    private suspend fun readSnapshot(source: TargetListSource, isRolledBack: Boolean = false): Boolean {
         val listing = source.snapshot().getOrElse { return false }
         val snapshot = listing.changes as? ChangesSince.Available ?: return false
-        if (snapshot.nextOffset < changes.nextOffset) return false
-        applyListing(changes.replaced(snapshot.changes, snapshot.nextOffset), listing)
+        val hasGoneBack = snapshot.nextOffset < changes.nextOffset
+        when {
+            listing.epoch < changes.epoch -> return false
+            listing.epoch > changes.epoch || isRolledBack -> restart(snapshot, listing)
+            hasGoneBack && source === store -> restart(snapshot, listing)
+            hasGoneBack -> return false
+            else -> applyListing(changes.replaced(snapshot.changes, snapshot.nextOffset), listing)
+        }
         return true
     }
 
+    private fun restart(snapshot: ChangesSince.Available<TargetEntry>, listing: TargetListing) {
+        val previous = changes
+        if (previous.snapshot() != ChangesSince.SnapshotRequired) onRollback(snapshot, listing)
+        applyListing(
+            previous.restarted(snapshot.changes, snapshot.nextOffset, listing.epoch, ::entryAfterRollback),
+            listing,
+        )
+    }
+
+    private fun onRollback(snapshot: ChangesSince.Available<TargetEntry>, listing: TargetListing) {
+        rolledBackAtMillis = clock.nowMillis()
+        log.write(
+            Event.TARGETS_REREAD,
+            field("epoch", listing.epoch),
+            field("before", changes.epoch),
+            field("nextOffset", snapshot.nextOffset),
+            field("offsetBefore", changes.nextOffset),
+        )
+    }
+
+    private fun hadRollbackWithin(windowMillis: Long): Boolean =
+        rolledBackAtMillis?.let { clock.nowMillis() - it < windowMillis } == true
+
     private fun applyListing(updated: ChangeLog<TargetEntry>, listing: TargetListing) {
         val previous = changes
         changes = updated
         retry.reset()
         isAgeKnown = true
         listedAtMillis = clock.nowMillis() - listing.ageMillis
-        mayHaveLapsed = listing.mayHaveLapsed
+        if (updated.nextOffset != previous.nextOffset) advancedAtMillis = clock.nowMillis()
+        mayHaveLapsed = listing.mayHaveLapsed || hadRollbackWithin(LAPSE_WINDOW_MILLIS)
         val changed = changedSince(previous, updated)
         if (changed.isNotEmpty() || !view.hasDirectory) adopt(changed)
         onRead()
@@ -130,8 +184,10 @@
         updated: ChangeLog<TargetEntry>,
     ): List<KeyChange<TargetEntry>> {
         val isFirst = previous.snapshot() == ChangesSince.SnapshotRequired
-        val changed = if (isFirst) updated.snapshot() else updated.since(previous.nextOffset)
-        return (changed as? ChangesSince.Available)?.changes.orEmpty()
+        val hasGoneBack = updated.nextOffset < previous.nextOffset
+        val later = if (isFirst) updated.snapshot() else updated.since(previous.nextOffset, previous.epoch)
+        if (later is ChangesSince.Available && !hasGoneBack) return later.changes
+        return updated.latestChanges().filter { it.value != previous.valueOrNull(it.key) }
     }
 
     private fun adopt(changed: List<KeyChange<TargetEntry>>) {
@@ -173,3 +229,18 @@
         )
     }
 }
+
+/**
+ * Returns the entry to use after a rollback for a target that was known as [known] and is now [listed], until the
+ * target's next record; `null` if it had left before.
+ */
+private fun entryAfterRollback(known: TargetEntry?, listed: TargetEntry): TargetEntry? {
+    if (known == null) return null
+    val knownBorn = known.bornEpochMillis ?: Long.MIN_VALUE
+    val listedBorn = listed.bornEpochMillis ?: Long.MIN_VALUE
+    return when {
+        listedBorn > knownBorn -> listed
+        listedBorn < knownBorn -> known
+        else -> if (listed.isDraining && !known.isDraining) listed else known
+    }
+}
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/PooledHttpExchanges.kt
@@ -84,7 +84,13 @@
     override fun onEnd(framing: AnswerFraming) {
         val response = checkNotNull(head) { "the response ended before its head was received" }
         val headers = response.headers().associate { it.key.lowercase() to it.value }
-        result.complete(Ok(HttpExchangeReply(response.status().code(), headers, body.toByteArray())))
+        val repeated = if (headers.size == response.headers().size()) emptySet() else repeatedNames(response)
+        result.complete(Ok(HttpExchangeReply(response.status().code(), headers, body.toByteArray(), repeated)))
+    }
+
+    private fun repeatedNames(response: HttpResponse): Set<String> {
+        val seen = HashSet<String>()
+        return response.headers().map { it.key.lowercase() }.filterNotTo(HashSet(), seen::add)
     }
 
     override fun onFailure(failure: AttemptFailure) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package org.banyanturn.entry.observe
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -16,6 +17,20 @@
     val unreadableNotices: Counter =
         counter("banyanturn_unreadable_notices", "Answers with a header about further requests that can't be read")
 
+    /** Counts the observed rollbacks of the platform's store. */
+    val storeRollbacks: Counter =
+        counter("banyanturn_store_rollbacks", "Rises of the epoch in answers of the platform's store")
+
+    /** Counts the responses of the platform's store whose epoch can't be read or is not credible yet. */
+    val unreadableStoreEpochs: Counter =
+        counter("banyanturn_unreadable_store_epochs", "Answers of the platform's store whose epoch was ignored")
+
+    /** The highest epoch in responses of the platform's store. */
+    val storeEpoch: Gauge = Gauge.builder()
+        .name("banyanturn_store_epoch")
+        .help("Highest epoch in answers of the platform's store")
+        .register(registry)
+
     private val unsolicitedBytes: Counter = Counter.builder()
         .name("banyanturn_unsolicited_bytes")
         .help("Bytes that targets sent where no response was due, by place")
--- a/entry/src/test/kotlin/org/banyanturn/entry/OwnershipLeaseTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/OwnershipLeaseTest.kt
@@ -49,6 +49,38 @@
         assertEquals(1_000, lease.ownedSinceMillisOrNull(first, 9_001))
     }
 
+    private fun grantIn(epoch: Long, generation: Long, atMillis: Long) =
+        lease.onGrant(OwnershipGrant(generation, setOf(first), epoch), sentAtMillis = atMillis - 10, atMillis)
+
+    @Test
+    fun `after a rollback a partition is owned only once the lease of an owner from before has ended`() {
+        grantIn(epoch = 1, generation = 9, atMillis = 1_000)
+        grantIn(epoch = 2, generation = 4, atMillis = 5_000)
+        assertEquals(5_000 + TTL_MILLIS, lease.ownedSinceMillisOrNull(first, 5_001))
+        grantIn(epoch = 2, generation = 5, atMillis = 5_500)
+        assertEquals(5_000 + TTL_MILLIS, lease.ownedSinceMillisOrNull(first, 5_501), "renewed while it waits")
+        assertEquals((2L shl 32) + 5, lease.fencingNumber)
+    }
+
+    @Test
+    fun `a grant of an earlier epoch does not renew the lease`() {
+        grantIn(epoch = 2, generation = 4, atMillis = 1_000)
+        grantIn(epoch = 1, generation = 9, atMillis = 2_900)
+        assertFalse(lease.isValid(2_990))
+        assertEquals(4, lease.generation)
+    }
+
+    @Test
+    fun `a generation that went back without an epoch owns nothing up to the highest number that was granted`() {
+        grant(7, atMillis = 1_000, first)
+        grant(5, atMillis = 1_500, first)
+        assertNull(lease.ownedSinceMillisOrNull(first, 1_501))
+        grant(7, atMillis = 2_000, first)
+        assertNull(lease.ownedSinceMillisOrNull(first, 2_001), "another VM may have the number 7 now")
+        grant(8, atMillis = 2_500, first)
+        assertEquals(1_500 + TTL_MILLIS, lease.ownedSinceMillisOrNull(first, 2_501))
+    }
+
     @Test
     fun `a dropped lease owns nothing, and later grants count as new`() {
         grant(1, atMillis = 1_000, first)
