Follow the evacuations of zones, and send nothing more to their targets

Cause: operators take a zone out of service with the key evacuate/ZONE in the topic of the catalog, which no VM read.

Change: CatalogFollower passes the records to ZoneEvacuations, which keeps the evacuated zones of FleetView. The list of targets that a zone's reader serves carries them with the time since the store confirmed them; of two statements the later confirmed one applies. Offsets were ruled out as the order, since they go back when the store is restored. Targets of evacuated zones are not usable and take no orders; queued turns there end, and running loads are planned elsewhere. Running requests finish.

A turn that is granted for a target that is no longer eligible now ends before another target is chosen; it counted as being processed before.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -108,6 +108,18 @@
     /** A request was sent to find out whether the blocked parts of its prompt crash targets. */
     PROMPT_PART_PROBED(1127, Level.INFO, "a request with a blocked part of a prompt was sent as a probe"),
 
+    /** Operators have evacuated a zone. */
+    ZONE_EVACUATED(1134, Level.WARN, "a zone is evacuated; its targets receive no new requests and no orders"),
+
+    /** Operators have ended the evacuation of a zone. */
+    ZONE_REOPENED(1135, Level.INFO, "the evacuation of a zone has ended; its targets are used again"),
+
+    /** A target is cold and receives requests only with permits of its owner. */
+    TARGET_COLD(1136, Level.INFO, "a target is cold; it receives requests at a limited rate"),
+
+    /** What this VM's permits for cold targets amounted to. */
+    COLD_PERMITS(1137, Level.INFO, "permits for requests to cold targets"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinator.kt
@@ -301,6 +301,7 @@
                 hasEnded(load) -> onReady(load.plan.targetId, CopyName(load.plan.modelId))
                 nowMillis > load.expectedAtMillis + load.graceMillis(storeLoads) -> onDeclined(load, "overdue")
                 load.plan.targetId !in view.directory.targets -> onDeclined(load, "gone")
+                view.isEvacuated(load.plan.targetId) -> onDeclined(load, "evacuated")
                 view.isRefusingConnections(load.plan.targetId) -> onDeclined(load, "dead")
                 load.isAnswered -> Unit
                 nowMillis - load.sentAtMillis <= RESEND_MILLIS -> Unit
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -20,7 +20,8 @@
 private const val CHANGES_WAIT_MILLIS = 1_500L
 
 /**
- * Keeps the catalog in [view] up to date from the platform's store; the version never decreases.
+ * Keeps the catalog in [view] up to date from the platform's store; the version never decreases. The topic also has the
+ * evacuated zones, which are passed to [evacuations].
  *
  * It reads a first snapshot from the store, and then the changes while [readsStore] is `true`. Otherwise [CatalogRelay]
  * fetches the versions that other VMs announce.
@@ -31,6 +32,7 @@
     private val outages: StoreOutageTracker,
     private val log: DecisionLog,
     private val readsStore: StateFlow<Boolean>,
+    private val evacuations: ZoneEvacuations,
     random: Random,
 ) {
     private val retry = RetryBackoff(random)
@@ -60,6 +62,7 @@
         topic.snapshot().fold(
             success = { snapshot ->
                 outages.onSuccess()
+                evacuations.onSnapshot(snapshot.records)
                 snapshot.records.forEach { applyRecord(it, "store") }
                 nextOffset = snapshot.nextOffset
                 true
@@ -78,6 +81,7 @@
         outages.onSuccess()
         when (changes) {
             is KeyedChanges.Records -> {
+                evacuations.onChanges(changes.records)
                 changes.records.forEach { applyRecord(it, "store") }
                 nextOffset = changes.nextOffset
             }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/PlatformLists.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/PlatformLists.kt
@@ -32,6 +32,7 @@
     random: Random,
 ) {
     private val readerSelector = ZoneReaderSelector(self, ownership::peers, ::targetListOf, clock, log)
+    private val evacuations = ZoneEvacuations(view, clock, log)
     private val catalogFollower =
         CatalogFollower(
             store.declarations,
@@ -39,12 +40,19 @@
             StoreOutageTracker("catalog", clock, log),
             log,
             readerSelector.readsStore,
+            evacuations,
             random,
         )
     private val storedTargets = StoredTargetList(store.targets, StoreOutageTracker("targets", clock, log), log)
     private val targetFollower = TargetFollower(storedTargets, readerSelector, view, clock, log, random)
     private val feed =
-        TargetFeed(targetFollower, catalogFollower::isUpToDate, { view.catalog?.version ?: NO_CATALOG_VERSION }, clock)
+        TargetFeed(
+            targetFollower,
+            catalogFollower::isUpToDate,
+            { view.catalog?.version ?: NO_CATALOG_VERSION },
+            clock,
+            evacuations::messageOrNull,
+        )
 
     /** Fetches newer catalogs from VMs that have them. */
     val relay: CatalogRelay =
@@ -52,11 +60,12 @@
 
     init {
         catalogFollower.onAdopted = feed::onCatalogChange
+        evacuations.onChange = feed::onCatalogChange
         targetFollower.onRead = feed::onRead
     }
 
     private fun targetListOf(peer: Peer) =
-        PeerTargetList(SocketAddressText(peer.host, port), exchanges, relay::onPeerVersion)
+        PeerTargetList(SocketAddressText(peer.host, port), exchanges, evacuations::onMessage, relay::onPeerVersion)
 
     /** Starts reading the lists, in the background. */
     fun start() {
@@ -74,7 +83,10 @@
     }
 
     /** Marks the age of the lists as unknown, after a suspension that the clock did not count. */
-    fun invalidateAge(): Unit = targetFollower.invalidateAge()
+    fun invalidateAge() {
+        targetFollower.invalidateAge()
+        evacuations.invalidateAge()
+    }
 
     /** Responds to polls whose wait time has passed; called several times a second. */
     fun tick(): Unit = feed.tick()
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
@@ -42,6 +42,7 @@
     private val isCatalogUpToDate: () -> Boolean,
     private val catalogVersion: () -> Long,
     private val clock: ProcessClock,
+    private val evacuations: () -> EvacuationsMessage? = { null },
 ) {
     private val pendingPolls = ArrayList<PendingPoll>()
 
@@ -67,13 +68,13 @@
         if (!isUpToDate()) return SmallResponse(HttpResponseStatus.SERVICE_UNAVAILABLE)
         val changes = if (from == null) follower.changeLog.snapshot() else follower.changeLog.since(from)
         val listing = TargetListing(changes, follower.ageMillis(), follower.mayHaveLapsed)
-        return SmallResponse(HttpResponseStatus.OK, listing.encode(catalogVersion()), CONTENT_TYPE)
+        return SmallResponse(HttpResponseStatus.OK, listing.encode(catalogVersion(), evacuations()), CONTENT_TYPE)
     }
 
     /** Responds to the polls for which the last read has brought changes. */
     fun onRead(): Unit = respondWhere { !hasNoChanges(it.from) }
 
-    /** Responds to all polls, so that the polling VMs learn the version of a newer catalog. */
+    /** Responds to all polls, so that the polling VMs learn of a newer catalog or other evacuated zones. */
     fun onCatalogChange(): Unit = respondWhere { true }
 
     /** Responds to the polls whose wait time has passed, and to all polls once the list is out of date. */
@@ -102,6 +103,7 @@
 internal class PeerTargetList(
     private val address: SocketAddressText,
     private val exchanges: HttpExchanges,
+    private val onEvacuations: (message: EvacuationsMessage, host: String) -> Unit = { _, _ -> },
     private val onCatalogVersion: (version: Long, host: String) -> Unit,
 ) : TargetListSource {
     override suspend fun snapshot(): Result<TargetListing, StoreError> = request(query = "", waitMillis = 0)
@@ -121,6 +123,7 @@
         if (response.statusCode != STATUS_OK) return Err(StoreError.Refused(response.statusCode))
         val page = decodeTargetFeedPageOrNull(response.body) ?: return Err(StoreError.Malformed("a page of the feed"))
         onCatalogVersion(page.catalogVersion, address.host)
+        page.evacuations?.let { onEvacuations(it, address.host) }
         return Ok(page.toListing())
     }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
@@ -25,6 +25,7 @@
  * @property ageMillis how long ago the platform's store is known to have held this list.
  * @property mayHaveLapsed whether missing entries may have expired because of an outage of the store.
  * @property catalogVersion the version of the sender's catalog, or -1 if it has none.
+ * @property evacuations the evacuated zones, or `null` if the sender runs an older version or does not know them.
  */
 @Serializable
 internal class TargetFeedPage(
@@ -34,6 +35,7 @@
     @ProtoNumber(4) val mayHaveLapsed: Boolean = false,
     @ProtoNumber(5) val catalogVersion: Long = -1,
     @ProtoNumber(6) val changes: List<EntryChangeMessage> = emptyList(),
+    @ProtoNumber(11) val evacuations: EvacuationsMessage? = null,
 )
 
 /** Represents a target's entry as of [offset], or its removal if [entry] is `null`. */
@@ -94,8 +96,8 @@
         HeldModel(ModelId(modelId), weightsVersion, adapterIds.mapTo(LinkedHashSet(), ::AdapterId))
 }
 
-/** Returns this listing in its wire format, with the version of the sender's catalog. */
-internal fun TargetListing.encode(catalogVersion: Long): ByteArray {
+/** Returns this listing in its wire format, with the version of the sender's catalog and the evacuated zones. */
+internal fun TargetListing.encode(catalogVersion: Long, evacuations: EvacuationsMessage?): ByteArray {
     val available = changes as? ChangesSince.Available
     val page = TargetFeedPage(
         isForgotten = available == null,
@@ -104,6 +106,7 @@
         mayHaveLapsed = mayHaveLapsed,
         catalogVersion = catalogVersion,
         changes = available?.changes.orEmpty().map { EntryChangeMessage(it.key, it.offset, it.value?.toMessage()) },
+        evacuations = evacuations,
     )
     return encodeMessage(TargetFeedPage.serializer(), page)
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -134,6 +134,23 @@
     var hasDirectory = false
         private set
 
+    /** The zones whose targets receive no requests and no orders, as stated by operators. */
+    var evacuatedZones: Set<ZoneId> = emptySet()
+        private set
+
+    /** Sets the evacuated [zones], and returns whether they have changed. */
+    fun setEvacuatedZones(zones: Set<ZoneId>): Boolean {
+        if (zones == evacuatedZones) return false
+        evacuatedZones = zones
+        notifyListeners()
+        return true
+    }
+
+    /** Returns whether the target [targetId] is listed in an evacuated zone. */
+    fun isEvacuated(targetId: TargetId): Boolean = directory.targets[targetId]?.let(::isEvacuated) ?: false
+
+    private fun isEvacuated(target: KnownTarget): Boolean = target.entry.zoneId in evacuatedZones
+
     /** Registers [listener], which is called after each change. */
     fun watch(listener: () -> Unit) {
         listeners += listener
@@ -198,13 +215,13 @@
             .associateWith { target.entry.heldModels[it]?.adapters?.size ?: 0 }
     }
 
-    /** Returns the reachable targets of [service], including those in a quiet period. */
+    /** Returns the reachable targets of [service] that are not evacuated, including those in a quiet period. */
     fun usableTargets(service: ServiceName): List<KnownTarget> {
         val nowMillis = clock.nowMillis()
         return directory.byService[service].orEmpty().filter { isUsable(it, nowMillis) }
     }
 
-    /** Returns whether the target [targetId] is listed, takes requests and is reachable from this VM. */
+    /** Returns whether [targetId] is listed, takes requests, is not evacuated and is reachable from this VM. */
     fun isUsable(targetId: TargetId): Boolean =
         directory.targets[targetId]?.let { isUsable(it, clock.nowMillis()) } ?: false
 
@@ -214,7 +231,7 @@
     ): Boolean = reachability.isRefusingConnections(targetId, clock.nowMillis())
 
     private fun isUsable(target: KnownTarget, nowMillis: Long): Boolean =
-        target.takesRequests && !isLeaving(target) &&
+        target.takesRequests && !isEvacuated(target) && !isLeaving(target) &&
             reachability.isReachable(target.entry.targetId, target.entry.zoneId, nowMillis)
 
     /** Returns whether [target] has announced in a response to this VM that it is about to stop. */
@@ -226,7 +243,8 @@
         notices.remainingQuietMillis(target.entry.targetId, target.entry.bornEpochMillis, clock.nowMillis())
 
     /** Returns whether this VM may send orders and report requests to [target]. */
-    fun takesOrders(target: KnownTarget): Boolean = !isLeaving(target) && remainingQuietMillis(target) == 0L
+    fun takesOrders(target: KnownTarget): Boolean =
+        !isEvacuated(target) && !isLeaving(target) && remainingQuietMillis(target) == 0L
 
     /** Records the [notice] of [target] on further requests, and returns whether it changes what may be sent there. */
     fun recordNotice(target: KnownTarget, notice: TargetNotice): Boolean {
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TurnAcquirer.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TurnAcquirer.kt
@@ -45,7 +45,9 @@
 
     private fun onGranted(target: KnownTarget) {
         val isStillEligible = environment.targetSelector.isStillEligible(target.entry.targetId, request.requirements)
-        if (isStillEligible) request.sendTo(target) else request.reselectTarget()
+        if (isStillEligible) return request.sendTo(target)
+        end()
+        request.reselectTarget()
     }
 
     private fun tryOtherTarget(target: KnownTarget) {
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinator.kt
@@ -167,14 +167,15 @@
         message.targetId.takeIf(::isIdentifier)?.let(::TargetId)
 
     /**
-     * Grants the turns that are due at engines of this VM, and those whose time limit has passed.
+     * Grants the turns that are due at engines of this VM, and those whose time limit has passed or whose engine's zone
+     * is evacuated, so that their requests choose again.
      *
      * Called every few milliseconds.
      */
     fun tick() {
         scheduler.tick()
         val nowMillis = clock.nowMillis()
-        waiting.filterValues { it.isDue(nowMillis) }.keys.forEach(::grant)
+        waiting.filterValues { it.isDue(nowMillis) || view.isEvacuated(it.targetId) }.keys.forEach(::grant)
     }
 }
 
--- a/entry/src/test/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinatorTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/copies/ModelLoadCoordinatorTest.kt
@@ -60,11 +60,11 @@
         )
     }
 
-    private fun engine(id: String): TargetEntry {
+    private fun engine(id: String, zone: String = "z"): TargetEntry {
         val weights = HostWeights(onDisk = setOf(model.modelId))
         return TargetEntry(
             TargetId(id),
-            service, "10.0.0.1:80", ZoneId("z"), 12, false, null, null, emptyMap(), weights,
+            service, "10.0.0.1:80", ZoneId(zone), 12, false, null, null, emptyMap(), weights,
         )
     }
 
@@ -142,6 +142,20 @@
         assertEquals(70L to 0L, transport.answers.last().let { it.number to it.readyInMillis })
     }
 
+    /** Guards against requests that wait for a copy on an engine that may not be used when the copy is ready. */
+    @Test
+    fun `a model that is being loaded in a zone that is evacuated is loaded in another zone`() {
+        view.adopt(view.directory.listed(engine("i-1", zone = "far"), nowMillis).missing(TargetId("i-2"), false, 0))
+        coordinator.request(service, model, ModelRequester("vm-2", number = 70))
+        runUntil(TICK_MILLIS)
+        val (number, first) = transport.orders.single()
+        coordinator.onAnswer(CopyAnswer(number, readyInMillis = 800, first, reason = ""))
+        view.adopt(view.directory.listed(engine("i-2"), nowMillis))
+        view.setEvacuatedZones(setOf(ZoneId("far")))
+        runUntil(200)
+        assertEquals(TargetId("i-2"), transport.orders.last().second)
+    }
+
     @Test
     fun `a load on an engine that refuses connections is not joined`() {
         refuseConnections(TargetId("i-1"))
--- a/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinatorTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinatorTest.kt
@@ -31,6 +31,7 @@
         entryAtMillis = 0,
     )
     private val log = ArrayList<String>()
+    private val views = ArrayList<FleetView>()
     private var isOwnerSilent = false
     private val owner = turnsOf("vm-1")
     private val other = turnsOf("vm-2")
@@ -49,7 +50,7 @@
     }
 
     private fun turnsOf(host: String): PromptTurnCoordinator {
-        val view = FleetView(clock, ZoneId("z"))
+        val view = FleetView(clock, ZoneId("z")).also { views += it }
         view.adopt(catalog())
         view.adopt(TargetDirectory.empty().listed(target.entry, nowMillis))
         return PromptTurnCoordinator(view, clock, knownSpeed()).also { it.transport = TransportOf(host) }
@@ -114,6 +115,17 @@
         assertEquals("c sent", log.last())
     }
 
+    /** Guards against prompts that wait for an engine which they may not be sent to any more. */
+    @Test
+    fun `turns at an engine whose zone is evacuated end at once, so that their requests choose again`() {
+        owner.take("a")
+        other.take("b")
+        assertEquals(listOf("a sent", "b queued"), log)
+        views.forEach { it.setEvacuatedZones(setOf(ZoneId("z"))) }
+        runUntil(TICK_MILLIS)
+        assertEquals("b sent", log.last(), "the request checks whether the engine is still eligible")
+    }
+
     @Test
     fun `an invalid message is ignored`() {
         owner.onMessage(TurnMessage(number = 1, stepNumber = 99, targetId = "i-1"), "vm-2")
--- a/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
+++ b/standin/src/main/kotlin/org/banyanturn/standin/hosted/HostedPlatformStandin.kt
@@ -12,6 +12,7 @@
 
 private const val STOP_TIMEOUT_MILLIS = 200L
 private const val PARTITIONS_PER_TOPIC = 12
+private const val DEFAULT_ZONE = "zone-a"
 
 /**
  * A small stand-in for the prepared platform, on the ports of one host: its store, the operators' document and targets.
@@ -45,9 +46,21 @@
         store.write("keyed.op", "config", document)
     }
 
-    /** Starts an engine of [service] that holds [models] and loads others in [loadMillis], and lists it. */
-    public suspend fun startEngine(id: String, service: String, models: List<String>, loadMillis: Long = 200) {
-        startTarget(id, service, HostedTargetStandin(id, isEngine = true, models, seenRuns, loadMillis = loadMillis))
+    /** Evacuates [zone], or ends its evacuation if [isEvacuated] is `false`. */
+    public fun evacuate(zone: String, isEvacuated: Boolean = true) {
+        store.write("keyed.op", "evacuate/$zone", if (isEvacuated) "{}" else null)
+    }
+
+    /** Starts an engine of [service] that holds [models] and loads others in [loadMillis], and lists it in [zone]. */
+    public suspend fun startEngine(
+        id: String,
+        service: String,
+        models: List<String>,
+        loadMillis: Long = 200,
+        zone: String = DEFAULT_ZONE,
+    ) {
+        val target = HostedTargetStandin(id, isEngine = true, models, seenRuns, loadMillis = loadMillis)
+        startTarget(id, service, target, zone)
     }
 
     /** Starts a plain target of [service] and lists it. */
@@ -55,9 +68,14 @@
         startTarget(id, service, HostedTargetStandin(id, isEngine = false, emptyList(), seenRuns))
     }
 
-    private suspend fun startTarget(id: String, service: String, target: HostedTargetStandin) {
+    private suspend fun startTarget(
+        id: String,
+        service: String,
+        target: HostedTargetStandin,
+        zone: String = DEFAULT_ZONE,
+    ) {
         val port = serve { with(target) { addRoutes() } }
-        targets[id] = RunningTarget(target, service, port, servers.last())
+        targets[id] = RunningTarget(target, service, zone, port, servers.last())
         list(id)
     }
 
@@ -67,7 +85,7 @@
         val entry = buildJsonObject {
             put("service", running.service)
             put("address", "$host:${running.port}")
-            put("zone", "zone-a")
+            put("zone", running.zone)
             put("slots", 48)
             put("state", state)
             put("models", running.target.heldModels())
@@ -82,7 +100,7 @@
         val entry = buildJsonObject {
             put("service", service)
             put("address", "$host:$port")
-            put("zone", "zone-a")
+            put("zone", DEFAULT_ZONE)
             put("slots", 48)
             put("state", "ready")
             put("born", bornEpochMillis)
@@ -151,6 +169,7 @@
 private class RunningTarget(
     val target: HostedTargetStandin,
     val service: String,
+    val zone: String,
     val port: Int,
     val server: EmbeddedServer<*, *>,
 ) {
