Send requests to cold targets only with permits of their owner

Cause: a service may state cold_per_s, the rate that its targets sustain after a start. All VMs together sent more to a new target, which then looks idle to each of them.

Change: ColdTargetTracker decides which targets are cold: by their entries, the header Cold-Ms, messages of other VMs and the time since an incarnation was first listed. The owner of a target grants permits one interval apart (ColdPermitGranter); a VM holds at most one per target, whose end counts from its own request (ColdPermitHolder). ColdTargetCoordinator wires both into the choice of targets and into sending; a permit is checked again when a new connection has been opened. Without an answer there is no permit, and a new owner waits until permits of the previous one have ended.

Ruled out: equal shares without messages, leases of a rate, and prompt turns, which are granted when the owner is silent; docs/design/cold-targets.md.

--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -56,6 +56,8 @@
 import org.banyanturn.entry.requests.TargetRequirements
 import org.banyanturn.entry.requests.TargetSelector
 import org.banyanturn.entry.requests.WaitQueue
+import org.banyanturn.entry.turns.ColdTargetCoordinator
+import org.banyanturn.entry.turns.ColdTargetSettings
 import org.banyanturn.platform.hosted.EngineOrders
 import org.banyanturn.platform.hosted.HostedStore
 import org.banyanturn.platform.hosted.SocketAddressText
@@ -118,6 +120,8 @@
     )
     private val exchanges = PooledHttpExchanges(connectionPool)
     private val store = HostedStore(boot.storeAddress, exchanges)
+    private val ownershipSettings =
+        OwnershipSettings(ttlMillis = maxOf(OwnershipSettings().ttlMillis, boot.leastGroupTtlMillis))
     private val ownership = Ownership(
         group = store.ownershipGroup(
             name = "banyanturn",
@@ -126,7 +130,7 @@
             partitionsPerTopic = boot.partitionsPerTopic,
         ),
         self = self,
-        settings = OwnershipSettings(ttlMillis = maxOf(OwnershipSettings().ttlMillis, boot.leastGroupTtlMillis)),
+        settings = ownershipSettings,
         outages = StoreOutageTracker("group", clock, log),
         clock = clock,
         log = log,
@@ -137,7 +141,18 @@
     private val limits =
         MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_UNUSED_BURST_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
-    private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count })
+    private val coldTargets = ColdTargetCoordinator(
+        view,
+        ColdTargetSettings(
+            boot.bounds.coldExcess,
+            boot.bounds.coldSlack,
+            ownerChangeMillis = ownershipSettings.ttlMillis + TAKEOVER_MARGIN_MILLIS,
+        ),
+        clock,
+        log,
+        metrics,
+    )
+    private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count }, coldTargets)
     private val waitQueue = WaitQueue(placement, clock)
     private val retries = ServiceRetryBudgets(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
@@ -169,7 +184,7 @@
     private val handler = RequestHandler(environment)
     private val peerMessenger = PeerMessenger(
         self, ownership, liveness, allotments, copyRequests, planner, engines, view, platformLists.relay, crashes,
-        environment.turns,
+        environment.turns, coldTargets,
     )
     private val pendingRequests = object : PendingRequests {
         override fun requirementsOrNull(copy: CopyName): TargetRequirements? = waitQueue.requirementsOrNull(copy)
@@ -256,6 +271,9 @@
         environment.onTargetDead = peerMessenger::sendDeadTarget
         environment.acceptsRequests = { shutdown.acceptsRequests }
         environment.turns.transport = peerMessenger
+        coldTargets.transport = peerMessenger
+        coldTargets.onUsable = waitQueue::dispatch
+        coldTargets.checkSuspension = ::checkSuspension
         copyRequests.transport = peerMessenger
         copyRequests.waiting = pendingRequests
         waitQueue.onCopyMissing = copyRequests::onCopyMissing
@@ -274,6 +292,7 @@
         copyRequests.tick()
         limits.tick(clock.nowMillis())
         environment.turns.tick()
+        coldTargets.tick()
         waitQueue.expire()
         peerMessenger.sendReports()
         platformLists.tick()
@@ -281,14 +300,15 @@
     }
 
     private fun isBusy(): Boolean =
-        waitQueue.size > 0 || limits.isWaiting || environment.turns.isBusy || copyRequests.isBusy || planner.isBusy ||
-            engines.isBusy || !shutdown.isServing
+        waitQueue.size > 0 || limits.isWaiting || environment.turns.isBusy || coldTargets.isBusy ||
+            copyRequests.isBusy || planner.isBusy || engines.isBusy || !shutdown.isServing
 
     private fun checkSuspension() {
         val gapMillis = suspensionMonitor.takeGapMillis()
         if (gapMillis == 0L) return
         ownership.dropLease()
         platformLists.invalidateAge()
+        coldTargets.withdrawPermits()
         log.write(Event.PROCESS_SUSPENDED, field("gapMillis", gapMillis))
     }
 
@@ -309,6 +329,7 @@
     private fun writeSummaries() {
         planner.writeSummary()
         environment.copyOutcomes.write()
+        coldTargets.writeSummary()
         val delayMillis = ticker.takeLongestDelayMillis()
         if (delayMillis < MIN_LOGGED_DELAY_MILLIS) return
         log.write(Event.EVENT_LOOP_DELAYED, field("delayMillis", delayMillis))
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetAttempt.kt
@@ -19,6 +19,9 @@
     /** The connection was not established within its time limit. */
     CONNECT_TIMEOUT,
 
+    /** The request could be written only after it was no longer permitted. */
+    NOT_PERMITTED,
+
     /** The connection was lost before the response was complete. */
     BROKEN,
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/http/TargetConnectionPool.kt
@@ -85,6 +85,7 @@
      *
      * @param attemptId the attempt id that the response must carry, or `null` if the request has none.
      * @param isAlone whether the request has a connection of its own, since nothing tells its answer from others.
+     * @param maySend returns whether the request may be sent; called again once a new connection is open.
      */
     fun send(
         address: SocketAddressText,
@@ -93,10 +94,11 @@
         listener: AttemptListener,
         maxIdleMillis: Long = settings.maxIdleMillis,
         isAlone: Boolean = false,
+        maySend: () -> Boolean = { true },
     ): TargetAttempt {
         val pooled = if (isAlone) null else takeIdleOrNull(address, attemptId, maxIdleMillis)
         if (pooled != null) return pooled.send(request, attemptId, listener)
-        return PendingAttempt(address, request, attemptId, listener, isAlone).also { it.connect() }
+        return PendingAttempt(address, request, attemptId, listener, isAlone, maySend).also { it.connect() }
     }
 
     private fun takeIdleOrNull(
@@ -150,6 +152,7 @@
         private val attemptId: String?,
         private val listener: AttemptListener,
         private val isAlone: Boolean,
+        private val maySend: () -> Boolean,
     ) : TargetAttempt {
         private var connecting: ChannelFuture? = null
         private var sentAttempt: TargetAttempt? = null
@@ -203,10 +206,19 @@
                 request.release()
                 return release(address, connection)
             }
+            if (!maySend()) return dropUnsent(connection)
             if (isAlone) connection.preventReuse()
             sentAttempt = connection.send(request, attemptId, listener)
         }
 
+        private fun dropUnsent(connection: TargetConnection) {
+            request.release()
+            release(address, connection)
+            listener.onFailure(
+                AttemptFailure(wasSent = false, AttemptFailureKind.NOT_PERMITTED, "the permit has ended"),
+            )
+        }
+
         override fun cancel() {
             isCancelled = true
             sentAttempt?.cancel()
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package org.banyanturn.entry.observe
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -28,6 +29,16 @@
         .labelNames("reason")
         .register(registry)
 
+    private val coldPermits: Counter = Counter.builder()
+        .name("banyanturn_cold_permits")
+        .help("Permits for requests to cold targets, by result")
+        .labelNames("result")
+        .register(registry)
+
+    private val coldTargets: Gauge = gauge("banyanturn_cold_targets", "Targets that are cold")
+
+    private val evacuatedZones: Gauge = gauge("banyanturn_evacuated_zones", "Zones that operators have evacuated")
+
     private val durations: Histogram =
         histogram("banyanturn_request_duration_seconds", "Time from a request's head to the end of its answer")
 
@@ -50,6 +61,17 @@
         unsolicitedBytes.labelValues(place).inc(byteCount.toLong())
     }
 
+    /** Counts [count] permits for cold targets with [result]. */
+    fun coldPermits(result: String, count: Long) {
+        if (count > 0) coldPermits.labelValues(result).inc(count)
+    }
+
+    /** Records the current numbers of evacuated zones and of cold targets. */
+    fun recordZonesAndColdTargets(zoneCount: Int, coldTargetCount: Int) {
+        evacuatedZones.set(zoneCount.toDouble())
+        coldTargets.set(coldTargetCount.toDouble())
+    }
+
     private fun histogram(name: String, help: String): Histogram =
         Histogram.builder()
             .name(name)
@@ -58,6 +80,8 @@
             .classicExponentialUpperBounds(MIN_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
             .register(registry)
 
+    private fun gauge(name: String, help: String): Gauge = Gauge.builder().name(name).help(help).register(registry)
+
     private fun counter(name: String, help: String): Counter =
         Counter.builder().name(name).help(help).register(registry)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import org.banyanturn.entry.decodeMessageOrNull
 import org.banyanturn.entry.encodeMessage
+import org.banyanturn.entry.turns.ColdPermitMessage
 import org.banyanturn.entry.turns.TurnMessage
 
 /**
@@ -34,6 +35,7 @@
     @ProtoNumber(15) val turns: List<TurnMessage> = emptyList(),
     @ProtoNumber(16) val promptPartRecords: List<String> = emptyList(),
     @ProtoNumber(17) val storeLoads: List<StoreLoadMessage> = emptyList(),
+    @ProtoNumber(25) val coldPermits: List<ColdPermitMessage> = emptyList(),
 )
 
 /** Reports the usage of a member at the sender to the member's collector. */
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerMessenger.kt
@@ -22,6 +22,9 @@
 import org.banyanturn.entry.requests.ArrivedRequests
 import org.banyanturn.entry.requests.CrashEvidence
 import org.banyanturn.entry.requests.FleetView
+import org.banyanturn.entry.turns.ColdPermitMessage
+import org.banyanturn.entry.turns.ColdPermitTransport
+import org.banyanturn.entry.turns.ColdTargetCoordinator
 import org.banyanturn.entry.turns.PromptTurnCoordinator
 import org.banyanturn.entry.turns.TurnMessage
 import org.banyanturn.entry.turns.TurnOwner
@@ -46,7 +49,8 @@
     private val relay: CatalogRelay,
     private val crashes: CrashEvidence,
     private val turns: PromptTurnCoordinator,
-) : CopyRequestTransport, ModelLoadTransport, TurnTransport {
+    private val coldTargets: ColdTargetCoordinator,
+) : CopyRequestTransport, ModelLoadTransport, TurnTransport, ColdPermitTransport {
     private val senderHosts = LinkedHashSet<String>()
     private val ownedCopies = OwnedCopyRequests(engines)
 
@@ -245,6 +249,15 @@
 
     override fun sendTurn(host: String, message: TurnMessage): Unit = send(host, turns = listOf(message))
 
+    override fun permitOwnerOrNull(targetId: TargetId): TurnOwner? = turnOwnerOrNull(targetId)
+
+    override fun ownedSinceMillisOrNull(targetId: TargetId): Long? =
+        ownership.ownedSinceMillisOrNull(OwnedEngineController.keyOf(targetId))
+
+    override fun sendPermit(host: String, message: ColdPermitMessage): Unit = send(host, coldPermits = listOf(message))
+
+    override fun sendPermitToAll(message: ColdPermitMessage): Unit = otherVms().forEach { sendPermit(it.host, message) }
+
     /** Dispatches a received [datagram] to the components and replies to its reports and requests. */
     fun onDatagram(datagram: PeerDatagram, senderHost: String) {
         if (!isIdentifier(datagram.vmId)) return
@@ -275,6 +288,7 @@
         }
         datagram.storeLoads.forEach(::onStoreLoad)
         datagram.turns.forEach { turns.onMessage(it, senderHost) }
+        datagram.coldPermits.forEach { coldTargets.onMessage(it, senderHost) }
         val grants = allotments.onReports(from, datagram.reports)
         val replies = datagram.wants.mapNotNull { onCopyRequest(it, senderHost) }
         if (grants.isNotEmpty() || replies.isNotEmpty()) send(senderHost, grants = grants, replies = replies)
@@ -317,6 +331,7 @@
         deadTargets: List<String> = emptyList(),
         turns: List<TurnMessage> = emptyList(),
         storeLoads: List<StoreLoadMessage> = emptyList(),
+        coldPermits: List<ColdPermitMessage> = emptyList(),
         isLeaving: Boolean = false,
     ) {
         val datagram = PeerDatagram(
@@ -335,6 +350,7 @@
             deadTargets = deadTargets,
             turns = turns,
             storeLoads = storeLoads,
+            coldPermits = coldPermits,
             isLeaving = isLeaving,
             isInGroup = ownership.isInGroup,
         )
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -5,12 +5,14 @@
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitBreakerSettings
+import org.banyanturn.core.routing.ColdTargetTracker
 import org.banyanturn.core.routing.ReachabilityTracker
 import org.banyanturn.core.routing.TargetNotice
 import org.banyanturn.core.routing.TargetNoticeTracker
 import org.banyanturn.core.routing.circuitBreakerOf
 import org.banyanturn.core.routing.targetLoadOf
 import org.banyanturn.core.serving.Catalog
+import org.banyanturn.core.serving.ColdTargetLimit
 import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.ServiceName
@@ -115,10 +117,12 @@
     private val clock: ProcessClock,
     val zoneId: ZoneId,
     private val settings: FleetViewSettings = FleetViewSettings(),
+    private val epochMillis: () -> Long = System::currentTimeMillis,
 ) {
     private val states = HashMap<TargetId, TargetState>()
     private val reachability = ReachabilityTracker()
     private val notices = TargetNoticeTracker()
+    private val coldTargets = ColdTargetTracker()
     private val demands = HashMap<Pair<ServiceName, CopyName>, ArrivedRequests>()
     private val listeners = ArrayList<() -> Unit>()
 
@@ -166,6 +170,7 @@
 
     /** Adopts a changed list of targets. */
     fun adopt(changed: TargetDirectory) {
+        coldTargets.onListed(changed.targets.values, isFirstList = !hasDirectory, clock.nowMillis(), epochMillis())
         directory = changed
         hasDirectory = true
         changed.targets.values.forEach { stateOf(it).everHeldModels += it.entry.heldModels.keys }
@@ -264,10 +269,44 @@
     /** Records that the host of [target] refused a connection, and returns whether its reachability changed. */
     fun recordConnectionRefused(target: KnownTarget): Boolean {
         val isNew = reachability.onConnectionRefused(target.entry.targetId, clock.nowMillis())
+        recordStopped(target)
         if (isNew) notifyListeners()
         return isNew
     }
 
+    /** Records that nothing listens at [target], which is cold when it is back; its new entry may be read later. */
+    private fun recordStopped(target: KnownTarget) {
+        val limit = coldLimitOrNull(target) ?: return
+        coldTargets.onCold(target.entry.targetId, limit.startMillis, limit.startMillis, clock.nowMillis())
+    }
+
+    /** Returns the limit on requests to the target [targetId] while it is cold, or `null` if there is none. */
+    fun coldLimitOrNull(targetId: TargetId): ColdTargetLimit? = directory.targets[targetId]?.let(::coldLimitOrNull)
+
+    private fun coldLimitOrNull(target: KnownTarget): ColdTargetLimit? =
+        catalog?.services?.get(target.entry.service)?.coldLimit
+
+    /** Returns how long [target] stays cold in milliseconds, or 0 if requests to it are not limited. */
+    fun remainingColdMillis(target: KnownTarget): Long {
+        val limit = coldLimitOrNull(target) ?: return 0
+        return coldTargets.remainingMillis(target.entry.targetId, limit.startMillis, clock.nowMillis())
+    }
+
+    /** Returns whether the target [targetId] is listed and cold. */
+    fun isCold(targetId: TargetId): Boolean = directory.targets[targetId]?.let { remainingColdMillis(it) > 0 } ?: false
+
+    /** Returns the listed targets that are cold. */
+    fun coldTargets(): List<KnownTarget> =
+        catalog?.services.orEmpty().values.filter { it.coldLimit != null }
+            .flatMap { directory.byService[it.name].orEmpty() }
+            .filter { remainingColdMillis(it) > 0 }
+
+    /** Records that [targetId] stays cold for [coldMillis], and returns whether it has not counted as cold before. */
+    fun recordCold(targetId: TargetId, coldMillis: Long): Boolean {
+        val limit = coldLimitOrNull(targetId) ?: return false
+        return coldTargets.onCold(targetId, coldMillis, limit.startMillis, clock.nowMillis())
+    }
+
     /** Records that [target] has answered, and returns whether it or its zone was unreachable before. */
     fun recordResponse(target: KnownTarget): Boolean =
         reachability.onAnswered(target.entry.targetId, target.entry.zoneId)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -114,6 +114,7 @@
         environment.metrics.firstPart(firstPartMillis)
         if (!headers.isNotRun && copy != null) environment.prefillSpeed.record(promptTokens, firstPartMillis)
         environment.notices.onNotice(target, headers.notice, headers.unreadable)
+        headers.coldMillis?.let { environment.coldTargets.onColdResponse(target, it) }
         headers.load?.let {
             state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
         }
@@ -248,7 +249,7 @@
     private fun handleFailure(failure: AttemptFailure) {
         if (isSettled) return
         settle()
-        recordFailure()
+        if (failure.kind != AttemptFailureKind.NOT_PERMITTED) recordFailure()
         isLost = failure.wasSent && failure.kind == AttemptFailureKind.BROKEN
         val evidence = if (failure.wasSent) AttemptEvidence.UNKNOWN else AttemptEvidence.NOT_SENT
         if (failure.kind == AttemptFailureKind.CONNECT) recordConnectionRefused()
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -13,6 +13,7 @@
 import org.banyanturn.entry.observe.CopyOutcomeLog
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.turns.ColdTargetCoordinator
 import org.banyanturn.entry.turns.PromptTurnCoordinator
 import kotlin.random.Random
 
@@ -36,6 +37,10 @@
     /** Bounds the memory of the answers that are being received. */
     val answerMemory = AnswerMemory(answerLimits.maxBufferedBytes)
 
+    /** Decides which requests may be sent to cold targets. */
+    val coldTargets: ColdTargetCoordinator
+        get() = targetSelector.coldTargets
+
     /** Counts what becomes of the requests for each copy. */
     val copyOutcomes = CopyOutcomeLog(log)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -20,6 +20,7 @@
 import org.banyanturn.entry.http.CallerListener
 import org.banyanturn.entry.observe.RequestDecisionLog
 import org.banyanturn.entry.turns.PendingPrompt
+import org.banyanturn.entry.turns.SendPermission
 import org.banyanturn.platform.hosted.TargetHeaders
 import java.util.concurrent.TimeUnit
 
@@ -54,6 +55,7 @@
     private var currentAttempt: OpenAttempt? = null
     private var response: TargetResponse? = null
     private var lastTarget: KnownTarget? = null
+    private var sendPermission = SendPermission(permit = null)
     private val relay = EventRelay(exchange)
     override val decisionLog: RequestDecisionLog = environment.log.forRequest(id)
     private val timers = ArrayList<ScheduledFuture<*>>()
@@ -188,10 +190,16 @@
     override fun sendTo(target: KnownTarget) {
         val blockedMillis = crashEvidence.refusedOnSendForMillisOrNull()
         if (blockedMillis != null) return handle(RequestEvent.FingerprintBlocked(blockedMillis))
+        sendPermission = environment.coldTargets.takeOrNull(target) ?: return reselectWithoutTurn()
         lastTarget = target
         handle(RequestEvent.TargetChosen(target.entry.targetId))
     }
 
+    private fun reselectWithoutTurn() {
+        turnAcquirer.end()
+        reselectTarget()
+    }
+
     override fun onNoTarget(expectedInMillis: Long?) {
         isWaiting = false
         refuseTemporarily("waited", expectedInMillis ?: latencies.fullResponseMillis())
@@ -210,6 +218,7 @@
         val attempt =
             OpenAttempt(attemptId, target, copy, promptTokens, environment, this, now(), callerId, turnAcquirer.turn)
         currentAttempt = attempt
+        val permission = sendPermission
         val maxIdleMillis =
             if (route.isRetryable) RequestTimings.RETRYABLE_IDLE_MILLIS else RequestTimings.ONCE_IDLE_MILLIS
         val started = environment.connectionPool.send(
@@ -219,6 +228,7 @@
             attempt,
             maxIdleMillis,
             isAlone = callerId == null,
+            maySend = { environment.coldTargets.maySend(permission) },
         )
         attempt.begin(started)
     }
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetSelector.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetSelector.kt
@@ -13,6 +13,7 @@
 import org.banyanturn.core.serving.ServiceName
 import org.banyanturn.core.stableHash
 import org.banyanturn.daemon.ProcessClock
+import org.banyanturn.entry.turns.ColdTargetCoordinator
 import kotlin.random.Random
 
 /**
@@ -61,6 +62,7 @@
     private val clock: ProcessClock,
     private val random: Random,
     private val vmCount: () -> Int,
+    val coldTargets: ColdTargetCoordinator,
     private val engineChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchedRequestMillis = 1.0)),
     private val serviceChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchedRequestMillis = 4.0)),
 ) {
@@ -79,7 +81,9 @@
         if (holders.isEmpty()) return TargetSelection.CopyMissing(modelHolders(usable, requirements))
         val accepting = holders.filter { view.remainingQuietMillis(it) == 0L }
         if (accepting.isEmpty()) return TargetSelection.AllQuiet(holders.minOf(view::remainingQuietMillis))
-        val untried = accepting.filterNot { it.entry.targetId in requirements.avoidedTargetIds }.ifEmpty { accepting }
+        val admitted = accepting.filter(coldTargets::admits)
+        if (admitted.isEmpty()) return TargetSelection.AllBusy
+        val untried = admitted.filterNot { it.entry.targetId in requirements.avoidedTargetIds }.ifEmpty { admitted }
         return chooseFrom(untried, requirements)
     }
 
@@ -87,7 +91,8 @@
     fun isStillEligible(targetId: TargetId, requirements: TargetRequirements): Boolean {
         val target = view.directory.targets[targetId] ?: return false
         val isThere = requirements.copy == null || view.holds(target, requirements.copy)
-        return isThere && view.isUsable(targetId) && view.remainingQuietMillis(target) == 0L
+        return isThere && view.isUsable(targetId) && view.remainingQuietMillis(target) == 0L &&
+            coldTargets.admits(target)
     }
 
     /** Returns the targets that hold the model of the copy in [requirements]. */
--- a/entry/src/test/kotlin/org/banyanturn/entry/PeerDatagramTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/PeerDatagramTest.kt
@@ -5,6 +5,8 @@
 import org.banyanturn.entry.peers.PeerDatagram
 import org.banyanturn.entry.peers.decodePeerDatagramOrNull
 import org.banyanturn.entry.peers.encode
+import org.banyanturn.entry.turns.ColdPermitMessage
+import org.banyanturn.entry.turns.ColdPermitStep
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -28,6 +30,10 @@
         assertEquals(listOf("m1"), decoded.wants.single().victims)
         assertTrue(bytes.size < 120, "${bytes.size} bytes")
         assertTrue(PeerDatagram("vm-a", 17, 3).encode().size < 20)
+        val asked = ColdPermitMessage(ColdPermitStep.REQUESTED.number, "i-f952164e23", number = 100_000)
+        val askBytes = PeerDatagram("front-a-123", 1_800_000_000_000, 3, coldPermits = listOf(asked)).encode().size
+        println("a request for a permit takes $askBytes bytes")
+        assertTrue(askBytes < 60, "$askBytes bytes")
     }
 
     @Test
