--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -120,6 +120,18 @@
     /** A rollback of the store has ended what this VM owned; it may send orders again after a wait. */
     OWNERSHIP_ROLLED_BACK(1133, Level.WARN, "the group of VMs has gone back; this VM waits before it sends orders"),
 
+    /** Operators have evacuated a zone. */
+    ZONE_EVACUATED(1134, Level.WARN, "a zone is evacuated; its targets receive no new requests and no orders"),
+
+    /** Operators have ended the evacuation of a zone. */
+    ZONE_REOPENED(1135, Level.INFO, "the evacuation of a zone has ended; its targets are used again"),
+
+    /** A target is cold and receives requests only with permits of its owner. */
+    TARGET_COLD(1136, Level.INFO, "a target is cold; it receives requests at a limited rate"),
+
+    /** What this VM's permits for cold targets amounted to. */
+    COLD_PERMITS(1137, Level.INFO, "permits for requests to cold targets"),
+
     /** A request was refused. */
     REQUEST_REFUSED(2001, Level.INFO, "a request was refused"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeed.kt
@@ -42,6 +42,7 @@
     private val isCatalogUpToDate: () -> Boolean,
     private val catalogVersion: () -> Long,
     private val clock: ProcessClock,
+    private val evacuations: () -> EvacuationsMessage? = { null },
 ) {
     private val pendingPolls = ArrayList<PendingPoll>()
 
@@ -79,13 +80,13 @@
             epoch = changeLog.epoch,
             endOffset = changeLog.nextOffset,
         )
-        return SmallResponse(HttpResponseStatus.OK, listing.encode(catalogVersion()), CONTENT_TYPE)
+        return SmallResponse(HttpResponseStatus.OK, listing.encode(catalogVersion(), evacuations()), CONTENT_TYPE)
     }
 
     /** Responds to the polls for which the last read has brought changes. */
     fun onRead(): Unit = respondWhere { !hasNoChanges(it.from) }
 
-    /** Responds to all polls, so that the polling VMs learn the version of a newer catalog. */
+    /** Responds to all polls, so that the polling VMs learn of a newer catalog or other evacuated zones. */
     fun onCatalogChange(): Unit = respondWhere { true }
 
     /** Responds to the polls whose wait time has passed, and to all polls once the list is out of date. */
@@ -117,6 +118,7 @@
 internal class PeerTargetList(
     private val address: SocketAddressText,
     private val exchanges: HttpExchanges,
+    private val onEvacuations: (message: EvacuationsMessage, host: String) -> Unit = { _, _ -> },
     private val onCatalogVersion: (version: Long, host: String) -> Unit,
 ) : TargetListSource {
     override suspend fun snapshot(): Result<TargetListing, StoreError> = request(query = "", waitMillis = 0)
@@ -136,6 +138,7 @@
         if (response.statusCode != STATUS_OK) return Err(StoreError.Refused(response.statusCode))
         val page = decodeTargetFeedPageOrNull(response.body) ?: return Err(StoreError.Malformed("a page of the feed"))
         onCatalogVersion(page.catalogVersion, address.host)
+        page.evacuations?.let { onEvacuations(it, address.host) }
         return Ok(page.toListing())
     }
 }
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/TargetFeedPage.kt
@@ -27,6 +27,7 @@
  * @property catalogVersion the version of the sender's catalog, or -1 if it has none.
  * @property epoch the store's epoch, to which the offsets belong; 0 also from a VM of a version without epochs.
  * @property endOffset the offset at which the sender's own list ends, or `null` from a VM of such a version.
+ * @property evacuations the evacuated zones, or `null` if the sender runs an older version or does not know them.
  */
 @Serializable
 internal class TargetFeedPage(
@@ -38,6 +39,7 @@
     @ProtoNumber(6) val changes: List<EntryChangeMessage> = emptyList(),
     @ProtoNumber(7) val epoch: Long = 0,
     @ProtoNumber(8) val endOffset: Long? = null,
+    @ProtoNumber(11) val evacuations: EvacuationsMessage? = null,
 )
 
 /** Represents a target's entry as of [offset], or its removal if [entry] is `null`. */
@@ -98,8 +100,8 @@
         HeldModel(ModelId(modelId), weightsVersion, adapterIds.mapTo(LinkedHashSet(), ::AdapterId))
 }
 
-/** Returns this listing in its wire format, with the version of the sender's catalog. */
-internal fun TargetListing.encode(catalogVersion: Long): ByteArray {
+/** Returns this listing in its wire format, with the version of the sender's catalog and the evacuated zones. */
+internal fun TargetListing.encode(catalogVersion: Long, evacuations: EvacuationsMessage?): ByteArray {
     val available = changes as? ChangesSince.Available
     val page = TargetFeedPage(
         isForgotten = available == null,
@@ -110,6 +112,7 @@
         changes = available?.changes.orEmpty().map { EntryChangeMessage(it.key, it.offset, it.value?.toMessage()) },
         epoch = epoch,
         endOffset = endOffset,
+        evacuations = evacuations,
     )
     return encodeMessage(TargetFeedPage.serializer(), page)
 }
