Grant members' cost units from their collector, and let requests wait for it

Cause: a VM admitted at its share of the rate, with a debt for any request beyond its part, and fell back to a fixed part after 1.5 s without a grant. Requests waited 200 ms, also when no collector had answered. Parts that VMs had been granted stayed valid for ever, and a new collector started from the level that VMs knew, without what was used since. Change: granted cost units are debited from one bucket at once, expire after 2.5 s and are credited when the VM says that it holds them no longer. A new collector starts from a level inside the accepted excess. Requests wait while no collector answers, up to 2.8 s. Metrics tell refusals inside the limit. AllotmentTest passes unchanged.

--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -40,6 +40,7 @@
 import org.banyanturn.entry.http.listenForSmallRequests
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.observe.LimitMetrics
 import org.banyanturn.entry.observe.UnsolicitedBytesLog
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerLiveness
@@ -134,8 +135,12 @@
     private val platformLists =
         PlatformLists(self, ownership, store, boot.relayPort, exchanges, view, scope, clock, log, random)
     private val liveness = PeerLiveness(ownership, self, clock)
-    private val limits =
-        MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_UNUSED_BURST_FRACTION)
+    private val limits = MemberLimits(
+        vmCount = { liveness.sharingVms().count },
+        initialFraction = if (boot.isFirstStart) 1.0 else RESTART_UNUSED_BURST_FRACTION,
+        startMillis = clock.nowMillis(),
+        metrics = LimitMetrics(metrics.registry),
+    )
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
     private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count })
     private val waitQueue = WaitQueue(placement, clock)
@@ -216,6 +221,7 @@
             onRequest = { exchange ->
                 shutdown.track(exchange)
                 handler.onRequest(exchange)
+                if (limits.isWaiting) peerMessenger.sendReports()
                 ticker.wake()
             },
             connections = connections,
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/AllotmentExchange.kt
@@ -67,7 +67,7 @@
         val memberCollector = collectorsByMember.getOrPut(memberId) {
             MemberCollector(quota, AllotmentCollector(ratePerSecond, quota.burst, nowMillis))
         }
-        if (memberCollector.quota !== quota) {
+        if (memberCollector.quota != quota) {
             memberCollector.quota = quota
             memberCollector.collector.setLimit(ratePerSecond, quota.burst, nowMillis)
         }
@@ -92,13 +92,36 @@
 private class MemberCollector(var quota: MemberQuota, val collector: AllotmentCollector)
 
 private fun AllotmentReport.toMessage(memberId: MemberId): AllotmentReportMessage =
-    AllotmentReportMessage(memberId.value, number, usedCost, demandPerSecond, knownLevel, neededCost)
+    AllotmentReportMessage(
+        memberId = memberId.value,
+        number = number,
+        usedCost = usedCost,
+        demandPerSecond = demandPerSecond,
+        knownLevel = knownLevel,
+        neededCost = neededCost,
+        heldCost = heldCost.toFloat(),
+        reserveCost = reserveCost.toFloat(),
+        firstCost = firstCost.toFloat(),
+        appliedNumber = appliedNumber ?: -1,
+        surrenderedCost = surrenderedCost.toFloat(),
+    )
 
 private fun AllotmentReportMessage.toReport(): AllotmentReport =
-    AllotmentReport(number, usedCost, demandPerSecond, neededCost, knownLevel)
+    AllotmentReport(
+        number = number,
+        usedCost = usedCost,
+        demandPerSecond = demandPerSecond,
+        neededCost = neededCost,
+        knownLevel = knownLevel,
+        heldCost = heldCost.toDouble(),
+        reserveCost = reserveCost.toDouble(),
+        firstCost = firstCost.toDouble(),
+        surrenderedCost = surrenderedCost.toDouble(),
+        appliedNumber = appliedNumber.takeIf { it >= 0 },
+    )
 
 private fun AllotmentGrant.toMessage(memberId: MemberId): AllotmentGrantMessage =
-    AllotmentGrantMessage(memberId.value, reportNumber, level, share, seenUsedCost, tokens)
+    AllotmentGrantMessage(memberId.value, reportNumber, level, share, seenUsedCost, tokens, isSettling)
 
 private fun AllotmentGrantMessage.toGrant(): AllotmentGrant =
-    AllotmentGrant(reportNumber, level, share, tokens, seenUsedCost)
+    AllotmentGrant(reportNumber, level, share, tokens, seenUsedCost, isSettling)
--- a/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/peers/PeerDatagram.kt
@@ -36,7 +36,16 @@
     @ProtoNumber(17) val storeLoads: List<StoreLoadMessage> = emptyList(),
 )
 
-/** Reports the usage of a member at the sender to the member's collector. */
+/**
+ * Reports the usage of a member at the sender to the member's collector.
+ *
+ * @property heldCost granted cost units that the sender may still use.
+ * @property reserveCost cost units that the sender asks for beyond [neededCost], for the requests that it expects.
+ * @property firstCost cost units of the request that waits longest, or 0.
+ * @property surrenderedCost total cost units that the sender could have used while no collector answered, and did not.
+ * @property appliedNumber number of the report whose grant the sender applied last, or a value below 0 if the sender
+ * runs a version without [heldCost].
+ */
 @Serializable
 internal class AllotmentReportMessage(
     @ProtoNumber(1) val memberId: String,
@@ -45,6 +54,11 @@
     @ProtoNumber(4) val demandPerSecond: Double,
     @ProtoNumber(5) val knownLevel: Double,
     @ProtoNumber(6) val neededCost: Double = 0.0,
+    @ProtoNumber(7) val heldCost: Float = 0f,
+    @ProtoNumber(8) val reserveCost: Float = 0f,
+    @ProtoNumber(9) val firstCost: Float = 0f,
+    @ProtoNumber(10) val appliedNumber: Long = -1,
+    @ProtoNumber(11) val surrenderedCost: Float = 0f,
 )
 
 /** Represents the collector's reply to an [AllotmentReportMessage]. */
@@ -56,6 +70,7 @@
     @ProtoNumber(4) val share: Double,
     @ProtoNumber(5) val seenUsedCost: Double,
     @ProtoNumber(6) val tokens: Double = 0.0,
+    @ProtoNumber(7) val isSettling: Boolean = false,
 )
 
 /**
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/MemberLimits.kt
@@ -5,10 +5,14 @@
 import org.banyanturn.core.limits.AllotmentReport
 import org.banyanturn.core.limits.AllotmentSettings
 import org.banyanturn.core.limits.MemberAllotment
+import org.banyanturn.core.limits.RESTART_UNUSED_BURST_FRACTION
 import org.banyanturn.core.limits.RateDecision
 import org.banyanturn.core.serving.MemberQuota
 import org.banyanturn.daemon.logs.LogField
 import org.banyanturn.daemon.logs.field
+import org.banyanturn.entry.observe.LimitMetrics
+import org.banyanturn.entry.observe.LimitRefusal
+import kotlin.math.min
 
 /**
  * Represents a request that awaits admission under its member's rate limit.
@@ -21,11 +25,21 @@
     val onDecision: (RateDecision) -> Unit,
 )
 
-/** Admits requests under this VM's shares of the members' rate limits. */
+/** How long after its start a VM may use a part of each burst before a collector answers. */
+private const val START_MILLIS = 10_000L
+
+/**
+ * Admits requests under this VM's shares of the members' rate limits.
+ *
+ * @param initialFraction fraction of each burst that is unused when this VM starts.
+ * @param metrics counts the refusals inside the limits, or `null` to count none.
+ */
 internal class MemberLimits(
     private val vmCount: () -> Int,
     private val initialFraction: Double,
     private val settings: AllotmentSettings = AllotmentSettings(),
+    private val startMillis: Long = 0,
+    private val metrics: LimitMetrics? = null,
 ) {
     private val states = HashMap<MemberId, MemberQuotaState>()
 
@@ -52,11 +66,26 @@
             val decision = state.share.tryAcquire(request.cost, vmCount(), nowMillis, request.arrivedAtMillis)
             if (decision is RateDecision.Pending) break
             state.waiting.removeFirst()
+            if (decision is RateDecision.Refused) recordRefusal(state, request)
+            if (request.arrivedAtMillis < nowMillis) metrics?.waited(nowMillis - request.arrivedAtMillis)
             request.onDecision(decision)
         }
         state.share.setWaitingCost(state.waiting.sumOf { it.cost })
     }
 
+    /** Counts a refusal; the member's unused cost units in the latest grant say whether it was inside the limit. */
+    private fun recordRefusal(state: MemberQuotaState, request: RateLimitedRequest) {
+        val isAnswered = (state.share.grantAtMillis ?: Long.MIN_VALUE) >= request.arrivedAtMillis
+        metrics?.refused(
+            state.quota.memberId.value,
+            when {
+                !isAnswered -> LimitRefusal.UNANSWERED
+                state.share.knownLevel >= request.cost -> LimitRefusal.UNUSED
+                else -> LimitRefusal.USED
+            },
+        )
+    }
+
     /** Refunds the [cost] of a request that has not run. */
     fun refund(quota: MemberQuota, cost: Double) {
         states[quota.memberId]?.share?.refund(cost)
@@ -91,15 +120,18 @@
 
     private fun stateOrNull(quota: MemberQuota, nowMillis: Long): MemberQuotaState? {
         val ratePerSecond = quota.ratePerSecond ?: return null
-        val state = states.getOrPut(quota.memberId) {
-            MemberQuotaState(quota, MemberAllotment(ratePerSecond, quota.burst, settings, nowMillis, initialFraction))
-        }
-        if (state.quota !== quota) {
-            state.quota = quota
-            state.share.setLimit(ratePerSecond, quota.burst, vmCount(), nowMillis)
-        }
+        val state = states.getOrPut(quota.memberId) { newState(quota, ratePerSecond, nowMillis) }
+        if (state.quota != quota) state.share.setLimit(ratePerSecond, quota.burst, vmCount(), nowMillis)
+        state.quota = quota
         return state
     }
+
+    private fun newState(quota: MemberQuota, ratePerSecond: Double, nowMillis: Long): MemberQuotaState {
+        val isStarting = nowMillis - startMillis < START_MILLIS
+        val fraction = if (isStarting) initialFraction else min(initialFraction, RESTART_UNUSED_BURST_FRACTION)
+        val share = MemberAllotment(ratePerSecond, quota.burst, settings, nowMillis, fraction, isStarting)
+        return MemberQuotaState(quota, share)
+    }
 }
 
 private class MemberQuotaState(var quota: MemberQuota, val share: MemberAllotment) {
