Start waiting requests of several ranks in one order, and refuse those that can't start in time

Cause: waiting requests were kept in one queue for each copy, which were visited in order of creation; the rank of a request decided nothing, and a request waited without regard to the queue ahead of it.

Change: StartOrder decides over all waiting requests of a service whose routes have several ranks. The rank whose recent requests were started least often comes first, within a tolerance the more urgent one; then come requests that can be on time, members in turns, remaining time and work. StartRates measures at which rate targets take waiting requests; a request that could not start in time even at the highest plausible rate is refused at once, with the expected time as Retry-After. Services whose routes all have the same rank are served as before.

--- a/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/serving/Catalog.kt
@@ -215,6 +215,18 @@
     /** Returns the minimum [Route.gapMillis] of the routes to [service], or `null` if none of them has one. */
     public fun minGapMillisOrNull(service: ServiceName): Long? = minGapsMillis[service]
 
+    private val ranksByService: Map<ServiceName, List<Int>> =
+        routes.flatMap { route -> route.targets.map { it.service to route.rank } }
+            .groupBy({ (service, _) -> service }, { (_, rank) -> rank })
+            .mapValues { (_, ranks) -> ranks.distinct().sorted() }
+
+    /** Returns whether routes to [service] have different ranks, so that its requests are started by rank. */
+    public fun hasSeveralRanks(service: ServiceName): Boolean = ranksByService[service].orEmpty().size > 1
+
+    /** Returns the middle one of the ranks of the routes to [service], or `null` if there is no such route. */
+    public fun middleRankOrNull(service: ServiceName): Int? =
+        ranksByService[service]?.let { ranks -> ranks[ranks.size / 2] }
+
     /** Returns the quota of the member whose key is [key], or `null` if there is no such member. */
     public fun memberOrNull(key: String): MemberQuota? = membersByKey[key]
 
--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -141,6 +141,12 @@
     /** A target sent bytes on a connection on which no response was due. */
     UNSOLICITED_BYTES(2013, Level.WARN, "a target sent bytes where no response was due"),
 
+    /** A waiting request was refused because it can't be started in time. */
+    REQUEST_CANNOT_START(2017, Level.INFO, "a request can't be started in time"),
+
+    /** What became of the requests that waited, by rank. */
+    RANKED_WAITS(2018, Level.INFO, "requests of several ranks waited"),
+
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -40,6 +40,7 @@
 import org.banyanturn.entry.http.listenForSmallRequests
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.observe.RankedWaitLog
 import org.banyanturn.entry.observe.UnsolicitedBytesLog
 import org.banyanturn.entry.peers.AllotmentExchange
 import org.banyanturn.entry.peers.PeerLiveness
@@ -138,7 +139,8 @@
         MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_UNUSED_BURST_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
     private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count })
-    private val waitQueue = WaitQueue(placement, clock)
+    private val rankedWaitLog = RankedWaitLog(log, metrics)
+    private val waitQueue = WaitQueue(placement, clock, view, rankedWaitLog)
     private val retries = ServiceRetryBudgets(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
         { liveness.sharingVms().count },
@@ -309,6 +311,7 @@
     private fun writeSummaries() {
         planner.writeSummary()
         environment.copyOutcomes.write()
+        rankedWaitLog.write()
         val delayMillis = ticker.takeLongestDelayMillis()
         if (delayMillis < MIN_LOGGED_DELAY_MILLIS) return
         log.write(Event.EVENT_LOOP_DELAYED, field("delayMillis", delayMillis))
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -28,6 +28,12 @@
         .labelNames("reason")
         .register(registry)
 
+    private val rankedWaits: Counter = Counter.builder()
+        .name("banyanturn_ranked_waits")
+        .help("Requests that waited for a target of a service with several ranks, by rank and outcome")
+        .labelNames("rank", "outcome")
+        .register(registry)
+
     private val durations: Histogram =
         histogram("banyanturn_request_duration_seconds", "Time from a request's head to the end of its answer")
 
@@ -50,6 +56,11 @@
         unsolicitedBytes.labelValues(place).inc(byteCount.toLong())
     }
 
+    /** Counts a request of [rank] with [outcome] in the queue for targets. */
+    fun rankedWait(rank: Int, outcome: String) {
+        rankedWaits.labelValues(rank.toString(), outcome).inc()
+    }
+
     private fun histogram(name: String, help: String): Histogram =
         Histogram.builder()
             .name(name)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -14,6 +14,7 @@
 import org.banyanturn.core.delivery.RequestOutcome
 import org.banyanturn.core.delivery.RequestState
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.queueing.StartTerms
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.RouteKind
 import org.banyanturn.core.serving.ServiceName
@@ -38,6 +39,7 @@
     private val deadlineMillis = exchange.arrivedAtMillis +
         minOf(admission.call.timeoutMillis ?: route.timeoutMillis, route.timeoutMillis)
     private val memberId = admission.member?.memberId
+    private val rank = admission.member?.rank ?: route.rank
     private val latencies = environment.latenciesOf(route.name)
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
@@ -60,6 +62,7 @@
     private val usesPromptTurns = copy != null && isStream && promptTokens > 0
     private val turnAcquirer = TurnAcquirer(this, environment)
     private var isWaiting = false
+    private var hasSelectedTarget = false
     private var isReleased = false
 
     /** The caller's id of this attempt, or a generated one. */
@@ -122,7 +125,7 @@
     private fun selectTarget(avoided: Set<TargetId>) {
         avoidedTargetIds = avoided
         when (val selection = environment.targetSelector.select(requirements)) {
-            is TargetSelection.Selected -> onTarget(selection.target)
+            is TargetSelection.Selected -> startOrQueue(selection.target)
             TargetSelection.AllBusy -> waitForCapacity()
             is TargetSelection.CopyMissing -> waitForCopy(selection)
             is TargetSelection.AllQuiet -> waitForQuietEnd(selection.quietMillis)
@@ -136,14 +139,49 @@
         exchange.arrivedAtMillis + (route.firstEventTimeoutMillis ?: Long.MAX_VALUE / 2) - latencies.firstPartMillis(),
     )
 
+    override val startTerms: StartTerms
+        get() = StartTerms(
+            memberId ?: RequestEnvironment.PUBLIC_MEMBER,
+            rank,
+            exchange.arrivedAtMillis,
+            onTimeByMillis = exchange.arrivedAtMillis + route.targetLatencyMillis -
+                if (isStream) latencies.firstPartMillis() else latencies.fullResponseMillis(),
+            startByMillis,
+            workMillis(),
+        )
+
+    private fun workMillis(): Double {
+        val tokens = admission.call.tokens ?: return latencies.fullResponseMillis().toDouble()
+        val prefillMillis = environment.prefillSpeed.millisPerTokenOrNull() ?: RequestTimings.PREFILL_TOKEN_MILLIS
+        return tokens.prompt * prefillMillis + tokens.maxGenerated * RequestTimings.OUTPUT_TOKEN_MILLIS
+    }
+
+    /** Sends the request to [target] unless a request of its service waits for the same copy. */
+    private fun startOrQueue(target: KnownTarget) {
+        if (hasSelectedTarget) return onTarget(target)
+        if (environment.waitQueue.isOvertaking(requirements) && startByMillis > now()) {
+            enqueue(startByMillis)
+            return environment.waitQueue.dispatch()
+        }
+        environment.waitQueue.recordUnqueued(service, startTerms, isStarted = true)
+        onTarget(target)
+    }
+
     private fun waitForCapacity() {
-        val maxWaitMillis = minOf(startByMillis - now(), route.targetLatencyMillis)
-        if (maxWaitMillis <= 0) return refuseTemporarily("busy", latencies.fullResponseMillis())
+        val maxWaitMillis = minOf(startByMillis - now(), maxCapacityWaitMillis())
+        if (maxWaitMillis <= 0) {
+            environment.waitQueue.recordUnqueued(service, startTerms, isStarted = false)
+            return refuseTemporarily("busy", latencies.fullResponseMillis())
+        }
         enqueue(now() + maxWaitMillis)
     }
 
+    /** A request that is late may still be started when no request that can be on time waits. */
+    private fun maxCapacityWaitMillis(): Long =
+        if (environment.waitQueue.isRanked(service)) Long.MAX_VALUE else route.targetLatencyMillis
+
     private fun waitForQuietEnd(quietMillis: Long) {
-        val maxWaitMillis = minOf(startByMillis - now(), route.targetLatencyMillis)
+        val maxWaitMillis = minOf(startByMillis - now(), maxCapacityWaitMillis())
         if (quietMillis > maxWaitMillis) return refuseTemporarily("targets_quiet", quietMillis)
         enqueue(now() + maxWaitMillis)
     }
@@ -174,6 +212,7 @@
 
     override fun onTarget(target: KnownTarget) {
         isWaiting = false
+        hasSelectedTarget = true
         if (usesPromptTurns) turnAcquirer.acquire(target) else sendTo(target)
     }
 
@@ -229,7 +268,7 @@
             member = memberId?.value,
             remainingMillis = deadlineMillis - now(),
             lastEventId = relay.lastEventId?.toString(),
-            rank = admission.member?.rank ?: route.rank,
+            rank = rank,
         )
         return targetRequest(exchange, added)
     }
