--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -41,6 +41,7 @@
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
 import org.banyanturn.entry.observe.LimitMetrics
+import org.banyanturn.entry.observe.RankedWaitLog
 import org.banyanturn.entry.observe.StoreEpochLog
 import org.banyanturn.entry.observe.UnsolicitedBytesLog
 import org.banyanturn.entry.peers.AllotmentExchange
@@ -160,7 +161,8 @@
         metrics,
     )
     private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count }, coldTargets)
-    private val waitQueue = WaitQueue(placement, clock)
+    private val rankedWaitLog = RankedWaitLog(log, metrics)
+    private val waitQueue = WaitQueue(placement, clock, view, rankedWaitLog)
     private val retries = ServiceRetryBudgets(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
         { liveness.sharingVms().count },
@@ -338,6 +340,7 @@
         planner.writeSummary()
         environment.copyOutcomes.write()
         coldTargets.writeSummary()
+        rankedWaitLog.write()
         val delayMillis = ticker.takeLongestDelayMillis()
         if (delayMillis < MIN_LOGGED_DELAY_MILLIS) return
         log.write(Event.EVENT_LOOP_DELAYED, field("delayMillis", delayMillis))
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -53,6 +53,12 @@
 
     private val evacuatedZones: Gauge = gauge("banyanturn_evacuated_zones", "Zones that operators have evacuated")
 
+    private val rankedWaits: Counter = Counter.builder()
+        .name("banyanturn_ranked_waits")
+        .help("Requests that waited for a target of a service with several ranks, by rank and outcome")
+        .labelNames("rank", "outcome")
+        .register(registry)
+
     private val durations: Histogram =
         histogram("banyanturn_request_duration_seconds", "Time from a request's head to the end of its answer")
 
@@ -86,6 +92,11 @@
         coldTargets.set(coldTargetCount.toDouble())
     }
 
+    /** Counts a request of [rank] with [outcome] in the queue for targets. */
+    fun rankedWait(rank: Int, outcome: String) {
+        rankedWaits.labelValues(rank.toString(), outcome).inc()
+    }
+
     private fun histogram(name: String, help: String): Histogram =
         Histogram.builder()
             .name(name)
