--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/ColdTargetCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/ColdTargetCoordinator.kt
@@ -68,6 +68,9 @@
     private val counts = ColdPermitCounts()
     private var knownColdIds: Set<TargetId> = emptySet()
 
+    /** News of cold targets that are sent once more with the next summary, since datagrams can be lost. */
+    private val repeatedNews = ArrayList<ColdPermitMessage>()
+
     /** Sends messages to other VMs. */
     lateinit var transport: ColdPermitTransport
 
@@ -175,15 +178,24 @@
     fun onColdResponse(target: KnownTarget, coldMillis: Long) {
         val targetId = target.entry.targetId
         if (!view.recordCold(targetId, coldMillis)) return
-        val message = ColdPermitMessage(ColdPermitStep.COLD.number, targetId.value, millis = coldMillis)
-        val owner = transport.permitOwnerOrNull(targetId)
-        if (owner?.host == null) transport.sendPermitToAll(message) else transport.sendPermit(owner.host, message)
+        announce(ColdPermitMessage(ColdPermitStep.COLD.number, targetId.value, millis = coldMillis))
+    }
+
+    /** Sends [message] to the owner of its target, or to all VMs if this VM is the owner, now and once more later. */
+    private fun announce(message: ColdPermitMessage) {
+        repeatedNews += message
+        sendNews(message)
+    }
+
+    private fun sendNews(message: ColdPermitMessage) {
+        val host = transport.permitOwnerOrNull(TargetId(message.targetId))?.host
+        if (host == null) transport.sendPermitToAll(message) else transport.sendPermit(host, message)
     }
 
     private fun onColdMessage(targetId: TargetId, coldMillis: Long) {
         if (coldMillis !in 1..MAX_COLD_MILLIS || !view.recordCold(targetId, coldMillis)) return
         if (transport.ownedSinceMillisOrNull(targetId) == null) return
-        transport.sendPermitToAll(ColdPermitMessage(ColdPermitStep.COLD.number, targetId.value, millis = coldMillis))
+        announce(ColdPermitMessage(ColdPermitStep.COLD.number, targetId.value, millis = coldMillis))
     }
 
     /** Asks again for permits that requests still want, and reports those that are usable; called at each tick. */
@@ -200,6 +212,9 @@
 
     /** Logs and counts what happened since the last call, and drops the state of warm targets; called once a second. */
     fun writeSummary() {
+        val news = repeatedNews.toList()
+        repeatedNews.clear()
+        news.forEach(::sendNews)
         val cold = view.coldTargets()
         val coldIds = cold.mapTo(HashSet()) { it.entry.targetId }
         cold.filter { it.entry.targetId !in knownColdIds }.forEach { target ->
--- a/entry/src/test/kotlin/org/banyanturn/entry/turns/ColdTargetCoordinatorTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/turns/ColdTargetCoordinatorTest.kt
@@ -210,6 +210,20 @@
         assertTrue(refused.remainingColdMillis(target) > 0, "a target that has stopped is cold when it is back")
     }
 
+    @Test
+    fun `the news that a target is cold again reach all VMs although the first message is lost`() {
+        start()
+        list(entry(EPOCH_MILLIS))
+        nowMillis = 60_000
+        isOwnerSilent = true
+        vms[2].coordinator.onColdResponse(target, coldMillis = 4_000)
+        assertEquals(0L, vms[0].view.remainingColdMillis(target))
+        isOwnerSilent = false
+        nowMillis += 1_000
+        vms.forEach { it.coordinator.writeSummary() }
+        vms.forEach { assertTrue(it.view.remainingColdMillis(target) > 0, it.host) }
+    }
+
     @Test
     fun `invalid messages are ignored`() {
         start()
