--- a/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/Allotment.kt
@@ -14,7 +14,8 @@
  * @property maxWaitMillis how long a request waits before it is refused because the member is at its limit.
  * @property collectorTimeoutMillis time without an answer from the collector after which a VM uses at most
  * [ISOLATED_FRACTION] of an equal share.
- * @property takeoverMillis how long after its reports are not answered a VM expects a new collector; requests wait for it.
+ * @property takeoverMillis time from the first unanswered report within which a new collector is expected; requests
+ * wait for it.
  * @property unusedWaitMillis how long a request waits while other VMs hold the cost units that it needs.
  * @property leaseMillis how long a VM may use granted cost units, from the time at which it sent the report. A lower
  * limit must take effect within 3 s everywhere, also on VMs that don't learn of it.
@@ -52,8 +53,8 @@
  * @property heldCost granted cost units that the VM may still use.
  * @property reserveCost cost units that the VM asks for beyond [neededCost], for the requests that it expects.
  * @property firstCost cost units of the request that waits longest, or 0; fewer than these are of no use to the VM.
- * @property surrenderedCost total cost units that the VM could have used while no collector answered, and did not; a new
- * collector may grant them.
+ * @property surrenderedCost total cost units that the VM could have used while no collector answered, and did not; a
+ * new collector may grant them.
  * @property appliedNumber number of the report whose grant the VM applied last, or `null` if the VM runs a version
  * without [heldCost].
  */
@@ -110,8 +111,8 @@
  * which the other VMs leave unused.
  *
  * @param initialFraction fraction of the burst that is assumed to be unused when this VM starts: 1 when the whole
- * deployment starts for the first time, less when the earlier use is not known. In the latter case the VM may use a part
- * of the burst at once, so that members are served before the collector is known.
+ * deployment starts for the first time, less when the earlier use is not known. In the latter case the VM may use a
+ * part of the burst at once, so that members are served before the collector is known.
  * @param hasInitialTokens whether this VM has just started, so that it may use a part of the burst at once.
  */
 public class MemberAllotment(
--- a/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/AllotmentCollector.kt
@@ -38,8 +38,8 @@
  *
  * Granted cost units are debited at once, and what a VM has not used is credited when its report says that it holds
  * them no longer. The collector decides no single request. Its state may be lost: a new one starts from a level that
- * keeps the limit whatever its predecessor granted. VMs that can't reach the collector continue with a fixed part of the
- * limit each.
+ * keeps the limit whatever its predecessor granted. VMs that can't reach the collector continue with a fixed part of
+ * the limit each.
  */
 public class AllotmentCollector(
     ratePerSecond: Double,
--- a/core/src/main/kotlin/org/banyanturn/core/limits/BucketLimit.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/limits/BucketLimit.kt
@@ -19,9 +19,9 @@
     val takeoverLevel: Double
         get() = min(burst, 0.6 * ratePerSecond + 0.07 * burst + min(0.4 * burst, 5_000.0))
 
-    /** Cost units that a VM which has just started may use before a collector answers. */
+    /** Cost units that a VM which has just started may use before a collector answers; not reported as unused. */
     fun startTokens(vmCount: Int): Double =
-        min(ISOLATED_FRACTION * burst, 0.2 * ratePerSecond + 0.03 * burst + 2_500) / max(1, vmCount)
+        min((1 - RESTART_UNUSED_BURST_FRACTION) * burst, 0.2 * ratePerSecond + 0.03 * burst + 2_500) / max(1, vmCount)
 
     /** Cost of the largest request that a VM which has just started admits before a collector answers. */
     fun maxStartCost(vmCount: Int): Double = min(2.5 * burst, 30_000.0) / max(1, vmCount)
