Give the waits for a limit exponential buckets

Cause: the linter rejects the spread of an array of bounds. Change: bounds double from 10 ms to 2.56 s.

--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/LimitMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/LimitMetrics.kt
@@ -6,8 +6,10 @@
 
 private const val MILLIS_PER_SECOND = 1_000.0
 
-/** Upper bounds of the waits for a member's limit, in seconds; a refusal takes 0.2 s or more. */
-private val WAIT_BOUNDS_SECONDS = doubleArrayOf(0.01, 0.02, 0.05, 0.1, 0.2, 0.6, 1.0, 3.0)
+/** Bucket bounds double from 10 ms to 2.56 s, which covers a round trip and the longest wait but 0.24 s. */
+private const val MIN_BOUND_SECONDS = 0.01
+private const val BOUND_FACTOR = 2.0
+private const val BOUND_COUNT = 9
 
 /** What was known about a member's limit when a request was refused because of it. */
 internal enum class LimitRefusal(val label: String) {
@@ -33,7 +35,7 @@
         .name("banyanturn_limit_wait_seconds")
         .help("Time that requests waited for a part of their member's rate limit")
         .classicOnly()
-        .classicUpperBounds(*WAIT_BOUNDS_SECONDS)
+        .classicExponentialUpperBounds(MIN_BOUND_SECONDS, BOUND_FACTOR, BOUND_COUNT)
         .register(registry)
 
     /** Counts a request of [member] that was refused. */
