Grant prompt turns in the order of ranks over all VMs

Cause: an engine's owner granted turns to the member that was served least recently, so that an urgent prompt waited behind less urgent ones of other members and VMs.

The turn message carries rank, the time in which the prompt must be sent to be on time, and work, in the new fields 8 to 10; a message without a rank is treated as the middle rank of the service's routes. Implausible values are limited. The fields are sent only for services whose routes have several ranks.

--- a/core/src/test/kotlin/org/banyanturn/core/routing/PrefillSchedulerTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/PrefillSchedulerTest.kt
@@ -60,6 +60,32 @@
         assertEquals(listOf(2), scheduler.completed(21, 600))
     }
 
+    private fun ranked(rank: Int?, onTimeByMillis: Long = 1_000, latestSendMillis: Long = 10_000) =
+        prompt(100.0, latestSendMillis).copy(urgency = rank?.let { PromptUrgency(it, onTimeByMillis, 400.0) })
+
+    /** Failure: the prompts of a VM that states no rank are always last, or always first. */
+    @Test
+    fun `prompts of several ranks are sent by rank, and those without a rank in between`() {
+        val ranked = PrefillScheduler<Int>(defaultRank = 1)
+        ranked.submit(0, ranked(0), 0)
+        ranked.submit(1, ranked(2), 1)
+        ranked.submit(2, ranked(null), 2)
+        ranked.submit(3, ranked(0), 3)
+        assertEquals(listOf(3), ranked.completed(0, 100))
+        assertEquals(listOf(2), ranked.completed(3, 200))
+        assertEquals(listOf(1), ranked.completed(2, 300))
+    }
+
+    /** Failure: prompts of the least urgent rank never get a turn while urgent ones arrive. */
+    @Test
+    fun `a prompt of the least urgent rank is sent at its latest send time`() {
+        ranked(0).let { urgent -> repeat(8) { scheduler.submit(it, urgent, 0) } }
+        scheduler.submit(20, ranked(2, onTimeByMillis = 300, latestSendMillis = 300), 0)
+        assertEquals(listOf(1), scheduler.completed(0, 100))
+        assertEquals(listOf(2), scheduler.completed(1, 200))
+        assertEquals(listOf(20), scheduler.tick(300))
+    }
+
     @Test
     fun `submitting and completing a prompt are idempotent`() {
         scheduler.submit(1, prompt(100.0), 0)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -15,6 +15,7 @@
 import org.banyanturn.core.delivery.RequestState
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.queueing.StartTerms
+import org.banyanturn.core.routing.PromptUrgency
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.core.serving.RouteKind
 import org.banyanturn.core.serving.ServiceName
@@ -217,7 +218,13 @@
     }
 
     override val prompt: PendingPrompt
-        get() = PendingPrompt(memberId ?: RequestEnvironment.PUBLIC_MEMBER, promptTokens)
+        get() = PendingPrompt(memberId ?: RequestEnvironment.PUBLIC_MEMBER, promptTokens, promptUrgencyOrNull())
+
+    private fun promptUrgencyOrNull(): PromptUrgency? {
+        if (!environment.waitQueue.isRanked(service)) return null
+        val terms = startTerms
+        return PromptUrgency(terms.rank, terms.onTimeByMillis, terms.workMillis)
+    }
 
     override fun sendByMillis(): Long =
         minOf(startByMillis, exchange.arrivedAtMillis + route.targetLatencyMillis - latencies.firstPartMillis())
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinator.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinator.kt
@@ -4,10 +4,17 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.isIdentifier
 import org.banyanturn.core.routing.PrefillSpeedEstimator
+import org.banyanturn.core.routing.PromptUrgency
 import org.banyanturn.core.serving.KnownTarget
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.requests.FleetView
 
+/** The rank of the least urgent requests. */
+private const val MAX_RANK = 9
+
+/** Longest time in a [TurnMessage] that is plausible, in milliseconds. */
+private const val MAX_TURN_MILLIS = 3_600_000L
+
 /** Represents a request's turn to send its prompt to an engine. */
 internal interface PromptTurn {
     /**
@@ -85,6 +92,7 @@
         }
 
         private fun requestFrom(host: String, waitMillis: Long) {
+            val urgency = prompt.urgency
             transport.sendTurn(
                 host,
                 TurnMessage(
@@ -94,6 +102,9 @@
                     prompt.tokens,
                     waitMillis,
                     memberId = prompt.memberId.value,
+                    rank = urgency?.rank ?: TurnMessage.UNKNOWN_RANK,
+                    onTimeInMillis = urgency?.let { it.onTimeByMillis - clock.nowMillis() } ?: 0,
+                    workMillis = urgency?.workMillis?.toLong() ?: 0,
                 ),
             )
             if (waitMillis == 0L) grant(number)
@@ -154,7 +165,7 @@
     private fun onRequested(message: TurnMessage, senderHost: String) {
         val targetId = targetOrNull(message) ?: return
         val memberId = message.memberId.takeIf(::isIdentifier)?.let(::MemberId) ?: return
-        val prompt = PendingPrompt(memberId, message.promptTokens.coerceAtLeast(0))
+        val prompt = PendingPrompt(memberId, message.promptTokens.coerceAtLeast(0), urgencyOrNull(message))
         val answer = scheduler.submit(TurnKey(senderHost, message.number), targetId, prompt, message.waitMillis)
         val step = if (answer.isGranted) TurnStep.GRANTED else TurnStep.QUEUED
         transport.sendTurn(
@@ -163,6 +174,16 @@
         )
     }
 
+    /** Returns the urgency in [message], with values of other VMs limited to plausible ones, or `null` without one. */
+    private fun urgencyOrNull(message: TurnMessage): PromptUrgency? {
+        if (message.rank < 0) return null
+        return PromptUrgency(
+            message.rank.coerceAtMost(MAX_RANK),
+            clock.nowMillis() + message.onTimeInMillis.coerceIn(-MAX_TURN_MILLIS, MAX_TURN_MILLIS),
+            message.workMillis.coerceIn(0, MAX_TURN_MILLIS).toDouble(),
+        )
+    }
+
     private fun targetOrNull(message: TurnMessage): TargetId? =
         message.targetId.takeIf(::isIdentifier)?.let(::TargetId)
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnScheduler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnScheduler.kt
@@ -5,14 +5,20 @@
 import org.banyanturn.core.routing.PrefillRequest
 import org.banyanturn.core.routing.PrefillScheduler
 import org.banyanturn.core.routing.PrefillSpeedEstimator
+import org.banyanturn.core.routing.PromptUrgency
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.requests.FleetView
 
 /** Identifies a turn by the [host] of the VM that requested it, `null` for this VM, and its [number] on that VM. */
 internal data class TurnKey(val host: String?, val number: Long)
 
-/** Represents a prompt of [tokens] tokens that a member's request is about to send. */
-internal class PendingPrompt(val memberId: MemberId, val tokens: Long)
+/**
+ * Represents a prompt of [tokens] tokens that a member's request is about to send.
+ *
+ * @property urgency what decides between prompts of several ranks, or `null` if the rank is not known or all routes of
+ * the service have the same.
+ */
+internal class PendingPrompt(val memberId: MemberId, val tokens: Long, val urgency: PromptUrgency? = null)
 
 /**
  * Represents the answer to a turn request.
@@ -40,13 +46,21 @@
         val budgetMillis = budgetMillisOrNull(targetId) ?: return TurnAnswer(isGranted = true, backlogMillis = 0)
         val nowMillis = clock.nowMillis()
         val prefillMillis = prompt.tokens * (prefillSpeed.millisPerTokenOrNull() ?: 0.0)
-        val prefillRequest = PrefillRequest(prompt.memberId, prefillMillis, budgetMillis, nowMillis + waitMillis)
-        val prefillScheduler = prefillSchedulers.getOrPut(targetId, ::PrefillScheduler)
+        val latestSendMillis = nowMillis + waitMillis
+        val prefillRequest =
+            PrefillRequest(prompt.memberId, prefillMillis, budgetMillis, latestSendMillis, prompt.urgency)
+        val prefillScheduler = prefillSchedulers.getOrPut(targetId) { newScheduler(targetId) }
         val granted = prefillScheduler.submit(key, prefillRequest, nowMillis)
         granted.filterNot { it == key }.forEach(onGranted)
         return TurnAnswer(key in granted, (prefillScheduler.backlogMillis() - prefillMillis).toLong().coerceAtLeast(0))
     }
 
+    /** A prompt without a rank, from a VM that runs an older version, has the middle rank of the service's routes. */
+    private fun newScheduler(targetId: TargetId): PrefillScheduler<TurnKey> {
+        val service = view.directory.targets[targetId]?.entry?.service
+        return PrefillScheduler(defaultRank = service?.let { view.catalog?.middleRankOrNull(it) } ?: 0)
+    }
+
     private fun budgetMillisOrNull(targetId: TargetId): Double? {
         val service = view.directory.targets[targetId]?.entry?.service ?: return null
         return view.catalog?.minGapMillisOrNull(service)?.let { it * BUDGET_FRACTION }
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnMessage.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/TurnMessage.kt
@@ -29,6 +29,10 @@
  * @property waitMillis how long the prompt may wait at most; set in [TurnStep.REQUESTED] only.
  * @property backlogMillis how long the engine takes to process all prompts ahead of this one; set in answers only.
  * @property memberId the member whose request sends the prompt; set in [TurnStep.REQUESTED] only.
+ * @property rank priority of the request, or [UNKNOWN_RANK]; set in [TurnStep.REQUESTED] only, if the routes of the
+ * service have several ranks.
+ * @property onTimeInMillis time within which the prompt must be sent for the response to be on time; set with [rank].
+ * @property workMillis estimated time for which the request occupies the engine; set with [rank].
  */
 @Serializable
 internal class TurnMessage(
@@ -39,8 +43,16 @@
     @ProtoNumber(5) val waitMillis: Long = 0,
     @ProtoNumber(6) val backlogMillis: Long = 0,
     @ProtoNumber(7) val memberId: String = "",
+    @ProtoNumber(8) val rank: Int = UNKNOWN_RANK,
+    @ProtoNumber(9) val onTimeInMillis: Long = 0,
+    @ProtoNumber(10) val workMillis: Long = 0,
 ) {
     /** The kind of this message, or `null` if a newer VM sent a kind that this version does not know. */
     val step: TurnStep?
         get() = TurnStep.entries.firstOrNull { it.number == stepNumber }
+
+    companion object {
+        /** The rank in messages that state none, such as those of VMs that run an older version. */
+        const val UNKNOWN_RANK = -1
+    }
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinatorTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/turns/PromptTurnCoordinatorTest.kt
@@ -4,6 +4,7 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.routing.PrefillSpeedEstimator
+import org.banyanturn.core.routing.PromptUrgency
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.KnownTarget
@@ -64,11 +65,14 @@
         }
     }
 
-    private fun PromptTurnCoordinator.take(name: String, untilMillis: Long = 800): PromptTurn =
-        turnAt(target, PendingPrompt(MemberId("growers"), PROMPT_TOKENS), untilMillis).also { turn ->
+    private fun PromptTurnCoordinator.take(name: String, untilMillis: Long = 800, rank: Int? = null): PromptTurn =
+        turnAt(target, promptOf(rank), untilMillis).also { turn ->
             turn.await({ log += "$name sent" }, { log += "$name queued" })
         }
 
+    private fun promptOf(rank: Int?) =
+        PendingPrompt(MemberId("growers"), PROMPT_TOKENS, rank?.let { PromptUrgency(it, nowMillis + 700, 400.0) })
+
     private fun runUntil(untilMillis: Long) {
         while (nowMillis < untilMillis) {
             nowMillis += TICK_MILLIS
@@ -122,4 +126,36 @@
         assertEquals(emptyList<String>(), log)
         assertEquals(false, owner.isBusy)
     }
+
+    /** Load: the owner's own prompts and those of another VM differ in rank. */
+    @Test
+    fun `an urgent prompt of another VM gets its turn before a less urgent one of the owner`() {
+        val first = owner.take("a", rank = 2)
+        owner.take("b", rank = 2)
+        other.take("c", rank = 0)
+        runUntil(100)
+        first.end()
+        assertEquals("c sent", log.last())
+    }
+
+    /** Failure: a VM dies while it holds a turn, and never reports that its prompt was processed. */
+    @Test
+    fun `the turn of a VM that dies is free after the completion timeout`() {
+        other.take("a", untilMillis = 5_000, rank = 0)
+        owner.take("b", untilMillis = 5_000, rank = 1)
+        runUntil(1_000)
+        assertEquals(listOf("a sent", "b queued"), log)
+        runUntil(1_000 + 2 * TICK_MILLIS)
+        assertEquals("b sent", log.last())
+    }
+
+    @Test
+    fun `implausible values in a message are limited`() {
+        owner.take("a", rank = 0)
+        val huge = Long.MAX_VALUE
+        owner.onMessage(TurnMessage(1, 1, "i-1", 10_000, 800, 0, "growers", Int.MAX_VALUE, huge, huge), "vm-2")
+        owner.onMessage(TurnMessage(2, 1, "i-1", 10_000, 800, 0, "growers", 0, -huge, -huge), "vm-2")
+        runUntil(900)
+        assertEquals(listOf("a sent"), log)
+    }
 }
