Choose engines by their current speed and keep them within memory

Cause: engines work at different and changing speeds, and the choice saw only the number of requests; nothing bounded the tokens at an engine. Ruled out: the best expected time of all targets. Change: TargetSpeed estimates a target's current and usual speed from reports and responses; CopyChooser takes the better of two by expected time if any candidate has reported a speed, and chooses as before otherwise. TokenLedger estimates the tokens at an engine; with the contract pressure a request isn't sent to an engine without room for it, keeps its turn while it waits, and is answered with 413 if no engine could ever hold it. Prompts count in turns at the engine's current speed.

--- a/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
+++ b/daemon/src/main/kotlin/org/banyanturn/daemon/logs/Event.kt
@@ -141,6 +141,15 @@
     /** A target sent bytes on a connection on which no response was due. */
     UNSOLICITED_BYTES(2013, Level.WARN, "a target sent bytes where no response was due"),
 
+    /** An engine's memory can't hold a request in addition to those that it holds. */
+    ENGINE_MEMORY_FULL(2014, Level.INFO, "an engine was passed over for lack of memory"),
+
+    /** Work usually takes at least twice as long at a target as normal. */
+    TARGET_SLOW(2015, Level.INFO, "a target is slow"),
+
+    /** A slow target works at about normal speed again. */
+    TARGET_SPEED_NORMAL(2016, Level.INFO, "a target works at normal speed again"),
+
     /** This VM has become the owner of an engine. */
     ENGINE_OWNED(3001, Level.INFO, "this VM owns the engine"),
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -47,6 +47,7 @@
 import org.banyanturn.entry.peers.PeerSocket
 import org.banyanturn.entry.requests.CrashEvidence
 import org.banyanturn.entry.requests.CrashTracker
+import org.banyanturn.entry.requests.EngineMemoryGuard
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
 import org.banyanturn.entry.requests.PromptPartTracker
@@ -137,7 +138,9 @@
     private val limits =
         MemberLimits({ liveness.sharingVms().count }, if (boot.isFirstStart) 1.0 else RESTART_UNUSED_BURST_FRACTION)
     private val allotments = AllotmentExchange(limits, ownership, view, self.incarnation, clock, liveness)
-    private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count })
+    private val memoryGuard =
+        EngineMemoryGuard(view, clock, boot.boundsMemory, { liveness.sharingVms().count }, log, metrics)
+    private val placement = TargetSelector(view, clock, random, memoryGuard, { liveness.sharingVms().count })
     private val waitQueue = WaitQueue(placement, clock)
     private val retries = ServiceRetryBudgets(
         FleetRetryLimit(boot.bounds.retryRatio, boot.bounds.retrySlack, boot.bounds.retryWindowMillis),
@@ -253,6 +256,7 @@
     private fun connectComponents() {
         crashes.requests.onRecord = peerMessenger::sendCrashRecord
         crashes.promptParts.onRecord = peerMessenger::sendPromptPartRecord
+        placement.promptMillisPerToken = { environment.prefillSpeed.millisPerTokenOrNull() ?: 0.0 }
         environment.onTargetDead = peerMessenger::sendDeadTarget
         environment.acceptsRequests = { shutdown.acceptsRequests }
         environment.turns.transport = peerMessenger
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -1,6 +1,7 @@
 package org.banyanturn.entry.observe
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 
@@ -16,6 +17,16 @@
     val unreadableNotices: Counter =
         counter("banyanturn_unreadable_notices", "Answers with a header about further requests that can't be read")
 
+    /** Counts the choices of a target that passed over an engine because its memory can't hold the request. */
+    val memoryWithheld: Counter =
+        counter("banyanturn_memory_withheld", "Choices that passed over an engine for lack of memory")
+
+    /** The number of targets whose usual speed is at most half of normal. */
+    val slowTargets: Gauge = Gauge.builder()
+        .name("banyanturn_slow_targets")
+        .help("Targets whose usual speed is at most half of normal")
+        .register(registry)
+
     private val unsolicitedBytes: Counter = Counter.builder()
         .name("banyanturn_unsolicited_bytes")
         .help("Bytes that targets sent where no response was due, by place")
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/EntryRefusal.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/EntryRefusal.kt
@@ -29,6 +29,9 @@
     /** The key belongs to no member. */
     data object UnknownKey : EntryRefusal(401, "unknown_key", RequestOutcome.NOT_RUN, null)
 
+    /** No engine's memory can hold the request, so that a retry can't succeed. */
+    data object TooLarge : EntryRefusal(413, "too_large", RequestOutcome.NOT_RUN, null)
+
     /** The member has exhausted its limit. */
     class OverLimit(retryAfterMillis: Long) :
         EntryRefusal(429, "over_limit", RequestOutcome.NOT_RUN, retryAfterMillis)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/FleetView.kt
@@ -6,10 +6,13 @@
 import org.banyanturn.core.placement.CopyName
 import org.banyanturn.core.routing.CircuitBreakerSettings
 import org.banyanturn.core.routing.ReachabilityTracker
+import org.banyanturn.core.routing.RequestSizes
 import org.banyanturn.core.routing.TargetNotice
 import org.banyanturn.core.routing.TargetNoticeTracker
 import org.banyanturn.core.routing.circuitBreakerOf
 import org.banyanturn.core.routing.targetLoadOf
+import org.banyanturn.core.routing.targetSpeedOf
+import org.banyanturn.core.routing.tokenLedgerOf
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.HostWeights
 import org.banyanturn.core.serving.KnownTarget
@@ -33,6 +36,12 @@
     var load = targetLoadOf(slots, reportTtlMillis)
     var breaker = circuitBreakerOf(breakerSettings)
 
+    /** The estimate of the target's current speed. */
+    var speed = targetSpeedOf()
+
+    /** The tokens of the requests that the target holds. */
+    var ledger = tokenLedgerOf(reportTtlMillis)
+
     private var promptBacklogEndMillis = Long.MIN_VALUE
 
     /** Records that the target takes [backlogMillis] for the prompts that are unprocessed or wait for their turn. */
@@ -120,6 +129,7 @@
     private val reachability = ReachabilityTracker()
     private val notices = TargetNoticeTracker()
     private val demands = HashMap<Pair<ServiceName, CopyName>, ArrivedRequests>()
+    private val requestSizes = HashMap<ServiceName, RequestSizes>()
     private val listeners = ArrayList<() -> Unit>()
 
     /** The configuration declared by operators, or `null` until it is known. */
@@ -165,6 +175,12 @@
             TargetState(target.entry.targetId, target.entry.slots, ttlMillis, settings.breaker)
         }
 
+    /** Returns the sizes of this VM's requests for [service]. */
+    fun requestSizes(service: ServiceName): RequestSizes = requestSizes.getOrPut(service, ::RequestSizes)
+
+    /** Returns how long work takes at the target [targetId] now, relative to normal. */
+    fun workFactor(targetId: TargetId): Double = states[targetId]?.speed?.workFactorAt(clock.nowMillis()) ?: 1.0
+
     /** Records that a request for [copy] of [service] with a prompt of [promptTokens] tokens has arrived. */
     fun recordDemand(service: ServiceName, copy: CopyName, promptTokens: Long) {
         demands.merge(service to copy, ArrivedRequests(1, promptTokens), ArrivedRequests::plus)
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -50,6 +50,7 @@
     private var body: ByteBuf? = null
     private val events = PacedEvents(this) { environment.loop.schedule(it, 0, TimeUnit.NANOSECONDS) }
     private var isReadingWanted = true
+    private var wasHeldBack = false
 
     /** The number of complete events that the stream has brought. */
     var eventCount = 0
@@ -97,6 +98,7 @@
     /** Stops or resumes reading the response. */
     fun setReading(isReading: Boolean) {
         isReadingWanted = isReading
+        if (!isReading) wasHeldBack = true
         updateReading()
     }
 
@@ -114,9 +116,7 @@
         environment.metrics.firstPart(firstPartMillis)
         if (!headers.isNotRun && copy != null) environment.prefillSpeed.record(promptTokens, firstPartMillis)
         environment.notices.onNotice(target, headers.notice, headers.unreadable)
-        headers.load?.let {
-            state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
-        }
+        headers.load?.let { environment.speeds.onReport(target, it) }
     }
 
     override fun onBody(content: ByteBuf) {
@@ -179,13 +179,19 @@
             headers.isNotRun -> handleNotRun(code)
             code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
             end == AnswerEnd.BROKEN_OFF -> failBrokenStream()
-            isStreaming -> succeed { receiver.onStreamEnd(this) }
+            isStreaming -> succeed(::endStream)
             code in SUCCESS -> succeed { receiver.onResponse(this, takeResponse()) }
             else -> handleErrorStatus(code)
         }
         environment.waitQueue.dispatch()
     }
 
+    /** Ends a complete stream; its duration tells the target's speed unless the stream was held back here. */
+    private fun endStream() {
+        if (!wasHeldBack) environment.speeds.onStreamEnd(target, eventCount, elapsedMillis() - firstPartMillis)
+        receiver.onStreamEnd(this)
+    }
+
     private fun endOf(framing: AnswerFraming): AnswerEnd =
         framing.answerEnd(if (isStreaming) streamProgress() else null)
 
@@ -294,6 +300,7 @@
         environment.answerMemory.hold(this, 0)
         turn?.end()
         state.load = state.load.ended(attemptId.value, environment.clock.nowMillis())
+        state.ledger = state.ledger.ended(attemptId.value)
         state.onAttemptEnded(copy)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestEnvironment.kt
@@ -42,6 +42,9 @@
     /** Handles the notices on further requests in targets' responses. */
     val notices = TargetNoticeHandler(view, log, metrics)
 
+    /** Tracks the speed of targets from their load reports and responses. */
+    val speeds = TargetSpeedTracker(view, clock, log, metrics)
+
     /** Estimates how fast engines process prompts from the responses to this VM's requests. */
     val prefillSpeed = PrefillSpeedEstimator()
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -83,7 +83,10 @@
     /** Starts to serve an admitted request, which may have waited for its limit, or for the rest of its body. */
     private fun start(admission: Admission) {
         if (!environment.acceptsRequests()) return refuseStopping(admission)
-        val target = pickTarget(admission.route.targets, environment.random)
+        val tokens = admission.call.tokens?.total ?: 0
+        val targets = admission.route.targets.filterNot { environment.targetSelector.isTooLarge(it.service, tokens) }
+        if (targets.isEmpty() && admission.route.targets.isNotEmpty()) return refuseTooLarge(admission, tokens)
+        val target = pickTarget(targets, environment.random)
             ?: return refuse(admission.exchange, admission.call, EntryRefusal.NoRoute)
         environment.retries.recordRequest(target.service, now())
         ServedRequest(admission, target.service, environment).start()
@@ -94,6 +97,11 @@
         refuse(admission.exchange, admission.call, EntryRefusal.Unavailable("stopping", STOPPING_RETRY_MILLIS))
     }
 
+    private fun refuseTooLarge(admission: Admission, tokens: Long) {
+        admission.member?.let { environment.limits.refund(it, admission.cost) }
+        refuse(admission.exchange, admission.call, EntryRefusal.TooLarge, listOf(field("tokens", tokens)))
+    }
+
     private fun refuse(
         exchange: CallerExchange,
         call: CallerHeaders,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -67,7 +67,16 @@
         get() = state.request.requestId.value
 
     override val requirements: TargetRequirements
-        get() = TargetRequirements(service, copy, affinityKey, avoidedTargetIds, latencies.fullResponseMillis())
+        get() = TargetRequirements(
+            service,
+            copy,
+            affinityKey,
+            avoidedTargetIds,
+            latencies.fullResponseMillis(),
+            generationMillis = latencies.fullResponseMillis() - latencies.firstPartMillis(),
+            promptTokens = promptTokens,
+            maxOutputTokens = admission.call.tokens?.maxGenerated,
+        )
 
     private fun requestId() = RequestId(
         admission.call.attemptId?.takeIf { it.isNotBlank() } ?: "unnamed-${nextGeneratedId++}",
@@ -123,7 +132,7 @@
         avoidedTargetIds = avoided
         when (val selection = environment.targetSelector.select(requirements)) {
             is TargetSelection.Selected -> onTarget(selection.target)
-            TargetSelection.AllBusy -> waitForCapacity()
+            TargetSelection.AllBusy, TargetSelection.MemoryFull -> waitForCapacity()
             is TargetSelection.CopyMissing -> waitForCopy(selection)
             is TargetSelection.AllQuiet -> waitForQuietEnd(selection.quietMillis)
             TargetSelection.NoTarget -> refuseTemporarily("no_target", RequestTimings.NO_TARGET_RETRY_MILLIS)
@@ -202,6 +211,7 @@
         val targetState = environment.view.stateOf(target)
         val request = requestTo(target)
         targetState.load = targetState.load.sent(attemptId.value, now())
+        recordTokens(targetState, attemptId)
         targetState.breaker = targetState.breaker.requestSent(now())
         targetState.onAttemptStarted(copy)
         environment.view.recordAttempt(target)
@@ -223,6 +233,13 @@
         attempt.begin(started)
     }
 
+    private fun recordTokens(targetState: TargetState, attemptId: AttemptId) {
+        val sizes = environment.view.requestSizes(service)
+        val tokens = requirements.tokens
+        sizes.record(tokens ?: 0, now())
+        targetState.ledger = targetState.ledger.sent(attemptId.value, tokens ?: sizes.meanTokens.toLong(), now())
+    }
+
     private fun requestTo(target: KnownTarget): FullHttpRequest {
         val added = TargetHeaders(
             targetId = target.entry.targetId.value,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetSelector.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/TargetSelector.kt
@@ -22,6 +22,9 @@
  * @property affinityKey requests with the same key prefer the same targets.
  * @property avoidedTargetIds targets that are selected only if there is no other.
  * @property holdMillis how long the request is expected to occupy a slot of the target.
+ * @property generationMillis part of [holdMillis] after the first event.
+ * @property promptTokens tokens of the prompt, or 0 if they are not stated.
+ * @property maxOutputTokens the most tokens that may be generated, or `null` if they are not stated.
  */
 internal class TargetRequirements(
     val service: ServiceName,
@@ -29,7 +32,14 @@
     val affinityKey: String,
     val avoidedTargetIds: Set<TargetId>,
     val holdMillis: Long,
-)
+    val generationMillis: Long = 0,
+    val promptTokens: Long = 0,
+    val maxOutputTokens: Long? = null,
+) {
+    /** The most tokens of a target's memory that the request takes, or `null` if they are not stated. */
+    val tokens: Long?
+        get() = maxOutputTokens?.let { promptTokens + it }
+}
 
 /** Represents the result of selecting a target for a request. */
 internal sealed interface TargetSelection {
@@ -39,6 +49,9 @@
     /** All targets that could serve the request are at capacity. */
     data object AllBusy : TargetSelection
 
+    /** All targets with capacity that could serve the request lack the memory for it at present. */
+    data object MemoryFull : TargetSelection
+
     /** Targets of the service take requests, but none holds the copy; [modelHolders] hold the copy's model. */
     class CopyMissing(val modelHolders: List<KnownTarget>) : TargetSelection
 
@@ -60,12 +73,16 @@
     private val view: FleetView,
     private val clock: ProcessClock,
     private val random: Random,
+    private val memory: EngineMemoryGuard,
     private val vmCount: () -> Int,
     private val engineChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchedRequestMillis = 1.0)),
     private val serviceChooser: CopyChooser = copyChooserOf(CopyChooserSettings(batchedRequestMillis = 4.0)),
 ) {
     private val affinitySpread = AffinitySpread()
 
+    /** Returns the prefill time of a prompt token at normal speed, in milliseconds; 0 if it is not known. */
+    var promptMillisPerToken: () -> Double = { 0.0 }
+
     /** Records that a request with [requirements] has arrived. */
     fun recordArrival(requirements: TargetRequirements): Unit =
         affinitySpread.record(requirements.affinityKey, clock.nowMillis())
@@ -87,9 +104,13 @@
     fun isStillEligible(targetId: TargetId, requirements: TargetRequirements): Boolean {
         val target = view.directory.targets[targetId] ?: return false
         val isThere = requirements.copy == null || view.holds(target, requirements.copy)
-        return isThere && view.isUsable(targetId) && view.remainingQuietMillis(target) == 0L
+        return isThere && view.isUsable(targetId) && view.remainingQuietMillis(target) == 0L &&
+            memory.fits(target, requirements)
     }
 
+    /** Returns whether no target of [service] can ever hold a request that takes [tokens]. */
+    fun isTooLarge(service: ServiceName, tokens: Long): Boolean = memory.isTooLarge(service, tokens)
+
     /** Returns the targets that hold the model of the copy in [requirements]. */
     fun modelHolders(requirements: TargetRequirements): List<KnownTarget> =
         modelHolders(view.usableTargets(requirements.service), requirements)
@@ -102,25 +123,40 @@
     private fun chooseFrom(targets: List<KnownTarget>, requirements: TargetRequirements): TargetSelection {
         val nowMillis = clock.nowMillis()
         val preferred = if (requirements.copy == null) null else preferredTargetOrNull(targets, requirements, nowMillis)
-        val candidates = targets.map { target ->
-            val state = view.stateOf(target)
-            ReadyTarget(
-                targetId = target.entry.targetId,
-                zoneDelayMillis = if (target.entry.zoneId == view.zoneId) 0.0 else CROSS_ZONE_DELAY_MILLIS,
-                freeBatchSlots = state.load.freeBatchSlotsAt(nowMillis),
-                cachedPromptMillis = if (target === preferred) CACHED_PREFIX_MILLIS else 0.0,
-                queuedPromptMillis =
-                if (requirements.copy == null) 0.0 else state.promptBacklogMillis(nowMillis).toDouble(),
-                state = state.breaker.stateAt(nowMillis),
-            )
-        }
+        val candidates = targets.map { readyTarget(it, requirements, isPreferred = it === preferred, nowMillis) }
         val available = candidates.filter { it.state != CircuitState.OPEN }
             .ifEmpty { candidates.map { it.copy(state = CircuitState.CLOSED) } }
         val withCapacity = available.filter { it.freeBatchSlots > 0 }
         if (withCapacity.isEmpty()) return TargetSelection.AllBusy
+        val targetsById = targets.associateBy { it.entry.targetId }
+        val withMemory = withCapacity.filter { memory.fits(targetsById.getValue(it.targetId), requirements) }
+        if (withMemory.isEmpty()) return TargetSelection.MemoryFull
         val chooser = if (requirements.copy == null) serviceChooser else engineChooser
-        val chosen = chooser.chooseOrNull(withCapacity, random.nextDouble()) ?: return TargetSelection.AllBusy
-        return TargetSelection.Selected(targets.first { it.entry.targetId == chosen.targetId })
+        val chosen = chooser.chooseOrNull(withMemory, random.nextDouble()) ?: return TargetSelection.AllBusy
+        return TargetSelection.Selected(targetsById.getValue(chosen.targetId))
+    }
+
+    private fun readyTarget(
+        target: KnownTarget,
+        requirements: TargetRequirements,
+        isPreferred: Boolean,
+        nowMillis: Long,
+    ): ReadyTarget {
+        val state = view.stateOf(target)
+        val isEngine = requirements.copy != null
+        return ReadyTarget(
+            targetId = target.entry.targetId,
+            zoneDelayMillis = if (target.entry.zoneId == view.zoneId) 0.0 else CROSS_ZONE_DELAY_MILLIS,
+            freeBatchSlots = state.load.freeBatchSlotsAt(nowMillis),
+            cachedPromptMillis = if (isPreferred) CACHED_PREFIX_MILLIS else 0.0,
+            queuedPromptMillis = if (isEngine) state.promptBacklogMillis(nowMillis).toDouble() else 0.0,
+            state = state.breaker.stateAt(nowMillis),
+            workFactor = if (state.speed.hasReported) state.speed.workFactorAt(nowMillis) else null,
+            usualWorkFactor = state.speed.usualWorkFactorAt(nowMillis),
+            runningRequests = state.load.requestsAt(nowMillis),
+            promptMillis = if (isEngine) requirements.promptTokens * promptMillisPerToken() else 0.0,
+            holdMillis = (if (isEngine) requirements.generationMillis else requirements.holdMillis).toDouble(),
+        )
     }
 
     /**
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
@@ -122,15 +122,28 @@
         if (selection is TargetSelection.CopyMissing) return onCopyMissing(requirements)
         if (selection is TargetSelection.AllQuiet) return refuseExpiringBefore(queue, nowMillis + selection.quietMillis)
         while (queue.size > 0 && targetSelector.select(requirements) is TargetSelection.Selected) {
-            val request = queue.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
+            val queued = queue.pollOrNull(nowMillis) ?: break
+            val request = requests.remove(queued.requestId) ?: break
             when (val selection = targetSelector.select(request.requirements)) {
                 is TargetSelection.Selected -> request.onTarget(selection.target)
+                TargetSelection.MemoryFull -> return putBack(queue, queued, request)
                 else -> request.onNoTarget()
             }
         }
         expire(queue, nowMillis)
     }
 
+    /**
+     * Puts a request back that doesn't fit into the memory of any engine yet.
+     *
+     * It keeps its turn, so that smaller requests don't overtake it until it expires.
+     */
+    private fun putBack(queue: FairQueue, queued: QueuedRequest, request: WaitingRequest) {
+        queue.offer(queued)
+        queue.charge(queued.memberId, queued.priority, -queued.cost)
+        requests[queued.requestId] = request
+    }
+
     private fun keyOf(requirements: TargetRequirements): QueueKey = QueueKey(requirements.service, requirements.copy)
 
     private companion object {
--- a/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnScheduler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/turns/PromptTurnScheduler.kt
@@ -39,7 +39,7 @@
     fun submit(key: TurnKey, targetId: TargetId, prompt: PendingPrompt, waitMillis: Long): TurnAnswer {
         val budgetMillis = budgetMillisOrNull(targetId) ?: return TurnAnswer(isGranted = true, backlogMillis = 0)
         val nowMillis = clock.nowMillis()
-        val prefillMillis = prompt.tokens * (prefillSpeed.millisPerTokenOrNull() ?: 0.0)
+        val prefillMillis = prompt.tokens * (prefillSpeed.millisPerTokenOrNull() ?: 0.0) * view.workFactor(targetId)
         val prefillRequest = PrefillRequest(prompt.memberId, prefillMillis, budgetMillis, nowMillis + waitMillis)
         val prefillScheduler = prefillSchedulers.getOrPut(targetId, ::PrefillScheduler)
         val granted = prefillScheduler.submit(key, prefillRequest, nowMillis)
