--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
@@ -122,17 +122,24 @@
         if (selection is TargetSelection.CopyMissing) return onCopyMissing(requirements)
         if (selection is TargetSelection.AllQuiet) return refuseExpiringBefore(queue, nowMillis + selection.quietMillis)
         while (queue.size > 0 && targetSelector.select(requirements) is TargetSelection.Selected) {
-            val queued = queue.pollOrNull(nowMillis) ?: break
-            val request = requests.remove(queued.requestId) ?: break
-            when (val selection = targetSelector.select(request.requirements)) {
-                is TargetSelection.Selected -> request.onTarget(selection.target)
-                TargetSelection.MemoryFull -> return putBack(queue, queued, request)
-                else -> request.onNoTarget()
-            }
+            if (!dispatchNext(queue, nowMillis)) break
         }
         expire(queue, nowMillis)
     }
 
+    /** Dispatches the next request, and returns whether another one may follow. */
+    private fun dispatchNext(queue: FairQueue, nowMillis: Long): Boolean {
+        val queued = queue.pollOrNull(nowMillis) ?: return false
+        val request = requests.remove(queued.requestId) ?: return false
+        val selection = targetSelector.select(request.requirements)
+        when (selection) {
+            is TargetSelection.Selected -> request.onTarget(selection.target)
+            TargetSelection.MemoryFull -> putBack(queue, queued, request)
+            else -> request.onNoTarget()
+        }
+        return selection !is TargetSelection.MemoryFull
+    }
+
     /**
      * Puts a request back that doesn't fit into the memory of any engine yet.
      *
