--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -50,6 +50,7 @@
 import org.banyanturn.entry.peers.PeerSocket
 import org.banyanturn.entry.requests.CrashEvidence
 import org.banyanturn.entry.requests.CrashTracker
+import org.banyanturn.entry.requests.EngineMemoryGuard
 import org.banyanturn.entry.requests.FleetView
 import org.banyanturn.entry.requests.MemberLimits
 import org.banyanturn.entry.requests.PromptPartTracker
@@ -160,7 +161,9 @@
         log,
         metrics,
     )
-    private val placement = TargetSelector(view, clock, random, { liveness.sharingVms().count }, coldTargets)
+    private val memoryGuard =
+        EngineMemoryGuard(view, clock, boot.boundsMemory, { liveness.sharingVms().count }, log, metrics)
+    private val placement = TargetSelector(view, clock, random, memoryGuard, { liveness.sharingVms().count }, coldTargets)
     private val rankedWaitLog = RankedWaitLog(log, metrics)
     private val waitQueue = WaitQueue(placement, clock, view, rankedWaitLog)
     private val retries = ServiceRetryBudgets(
@@ -278,6 +281,7 @@
     private fun connectComponents() {
         crashes.requests.onRecord = peerMessenger::sendCrashRecord
         crashes.promptParts.onRecord = peerMessenger::sendPromptPartRecord
+        placement.promptMillisPerToken = { environment.prefillSpeed.millisPerTokenOrNull() ?: 0.0 }
         environment.onTargetDead = peerMessenger::sendDeadTarget
         environment.acceptsRequests = { shutdown.acceptsRequests }
         environment.turns.transport = peerMessenger
--- a/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/observe/EntryMetrics.kt
@@ -31,6 +31,16 @@
         .help("Highest epoch in answers of the platform's store")
         .register(registry)
 
+    /** Counts the choices of a target that passed over an engine because its memory can't hold the request. */
+    val memoryWithheld: Counter =
+        counter("banyanturn_memory_withheld", "Choices that passed over an engine for lack of memory")
+
+    /** The number of targets whose usual speed is at most half of normal. */
+    val slowTargets: Gauge = Gauge.builder()
+        .name("banyanturn_slow_targets")
+        .help("Targets whose usual speed is at most half of normal")
+        .register(registry)
+
     private val unsolicitedBytes: Counter = Counter.builder()
         .name("banyanturn_unsolicited_bytes")
         .help("Bytes that targets sent where no response was due, by place")
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/OpenAttempt.kt
@@ -50,6 +50,7 @@
     private var body: ByteBuf? = null
     private val events = PacedEvents(this) { environment.loop.schedule(it, 0, TimeUnit.NANOSECONDS) }
     private var isReadingWanted = true
+    private var wasHeldBack = false
 
     /** The number of complete events that the stream has brought. */
     var eventCount = 0
@@ -97,6 +98,7 @@
     /** Stops or resumes reading the response. */
     fun setReading(isReading: Boolean) {
         isReadingWanted = isReading
+        if (!isReading) wasHeldBack = true
         updateReading()
     }
 
@@ -115,9 +117,7 @@
         if (!headers.isNotRun && copy != null) environment.prefillSpeed.record(promptTokens, firstPartMillis)
         environment.notices.onNotice(target, headers.notice, headers.unreadable)
         headers.coldMillis?.let { environment.coldTargets.onColdResponse(target, it) }
-        headers.load?.let {
-            state.load = state.load.reported(it.running, it.waiting, it.slots, environment.clock.nowMillis())
-        }
+        headers.load?.let { environment.speeds.onReport(target, it) }
     }
 
     override fun onBody(content: ByteBuf) {
@@ -180,13 +180,19 @@
             headers.isNotRun -> handleNotRun(code)
             code in SUCCESS && !headers.isSigned -> fail(AttemptEvidence.UNKNOWN, "a success without signature")
             end == AnswerEnd.BROKEN_OFF -> failBrokenStream()
-            isStreaming -> succeed { receiver.onStreamEnd(this) }
+            isStreaming -> succeed(::endStream)
             code in SUCCESS -> succeed { receiver.onResponse(this, takeResponse()) }
             else -> handleErrorStatus(code)
         }
         environment.waitQueue.dispatch()
     }
 
+    /** Ends a complete stream; its duration tells the target's speed unless the stream was held back here. */
+    private fun endStream() {
+        if (!wasHeldBack) environment.speeds.onStreamEnd(target, eventCount, elapsedMillis() - firstPartMillis)
+        receiver.onStreamEnd(this)
+    }
+
     private fun endOf(framing: AnswerFraming): AnswerEnd =
         framing.answerEnd(if (isStreaming) streamProgress() else null)
 
@@ -295,6 +301,7 @@
         environment.answerMemory.hold(this, 0)
         turn?.end()
         state.load = state.load.ended(attemptId.value, environment.clock.nowMillis())
+        state.ledger = state.ledger.ended(attemptId.value)
         state.onAttemptEnded(copy)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/RequestHandler.kt
@@ -21,6 +21,13 @@
  */
 private const val NOT_READY_RETRY_MILLIS = 500L
 
+/**
+ * Retry delay for callers whose request exceeds the memory of every engine.
+ *
+ * Such a request is refused like one that finds all engines full, which is how engines refuse it themselves.
+ */
+private const val TOO_LARGE_RETRY_MILLIS = 1_000L
+
 /** Retry delay for callers of a VM that stops; their next connection leads to another VM. */
 private const val STOPPING_RETRY_MILLIS = 100L
 
@@ -83,7 +90,10 @@
     /** Starts to serve an admitted request, which may have waited for its limit, or for the rest of its body. */
     private fun start(admission: Admission) {
         if (!environment.acceptsRequests()) return refuseStopping(admission)
-        val target = pickTarget(admission.route.targets, environment.random)
+        val tokens = admission.call.tokens?.total ?: 0
+        val targets = admission.route.targets.filterNot { environment.targetSelector.isTooLarge(it.service, tokens) }
+        if (targets.isEmpty() && admission.route.targets.isNotEmpty()) return refuseTooLarge(admission, tokens)
+        val target = pickTarget(targets, environment.random)
             ?: return refuse(admission.exchange, admission.call, EntryRefusal.NoRoute)
         environment.retries.recordRequest(target.service, now())
         ServedRequest(admission, target.service, environment).start()
@@ -94,6 +104,12 @@
         refuse(admission.exchange, admission.call, EntryRefusal.Unavailable("stopping", STOPPING_RETRY_MILLIS))
     }
 
+    private fun refuseTooLarge(admission: Admission, tokens: Long) {
+        admission.member?.let { environment.limits.refund(it, admission.cost) }
+        val refusal = EntryRefusal.Unavailable("too_large", TOO_LARGE_RETRY_MILLIS)
+        refuse(admission.exchange, admission.call, refusal, listOf(field("tokens", tokens)))
+    }
+
     private fun refuse(
         exchange: CallerExchange,
         call: CallerHeaders,
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/WaitQueue.kt
@@ -171,15 +171,35 @@
         if (selection is TargetSelection.CopyMissing) return onCopyMissing(requirements)
         if (selection is TargetSelection.AllQuiet) return refuseExpiringBefore(queue, nowMillis + selection.quietMillis)
         while (queue.size > 0 && targetSelector.select(requirements) is TargetSelection.Selected) {
-            val request = queue.pollOrNull(nowMillis)?.let { requests.remove(it.requestId) } ?: break
-            when (val selection = targetSelector.select(request.requirements)) {
-                is TargetSelection.Selected -> request.onTarget(selection.target)
-                else -> request.onNoTarget()
-            }
+            if (!dispatchNext(queue, nowMillis)) break
         }
         expire(queue, nowMillis)
     }
 
+    /** Dispatches the next request, and returns whether another one may follow. */
+    private fun dispatchNext(queue: FairQueue, nowMillis: Long): Boolean {
+        val queued = queue.pollOrNull(nowMillis) ?: return false
+        val request = requests.remove(queued.requestId) ?: return false
+        val selection = targetSelector.select(request.requirements)
+        when (selection) {
+            is TargetSelection.Selected -> request.onTarget(selection.target)
+            TargetSelection.MemoryFull -> putBack(queue, queued, request)
+            else -> request.onNoTarget()
+        }
+        return selection !is TargetSelection.MemoryFull
+    }
+
+    /**
+     * Puts a request back that doesn't fit into the memory of any engine yet.
+     *
+     * It keeps its turn, so that smaller requests don't overtake it until it expires.
+     */
+    private fun putBack(queue: FairQueue, queued: QueuedRequest, request: WaitingRequest) {
+        queue.offer(queued)
+        queue.charge(queued.memberId, queued.priority, -queued.cost)
+        requests[queued.requestId] = request
+    }
+
     private fun keyOf(requirements: TargetRequirements): QueueKey = QueueKey(requirements.service, requirements.copy)
 
     private companion object {
--- a/entry/src/test/kotlin/org/banyanturn/entry/requests/RankedWaitQueueTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/requests/RankedWaitQueueTest.kt
@@ -31,8 +31,9 @@
     private val view = FleetView(clock, ZoneId("z"))
     private val metrics = EntryMetrics()
     private val log = DecisionLog(clock, metrics)
-    private val queue =
-        WaitQueue(TargetSelector(view, clock, Random(1), { 1 }), clock, view, RankedWaitLog(log, metrics))
+    private val guard = EngineMemoryGuard(view, clock, isEnabled = false, { 1 }, log, metrics)
+    private val selector = TargetSelector(view, clock, Random(1), guard, { 1 }, coldTargets(view, clock, metrics))
+    private val queue = WaitQueue(selector, clock, view, RankedWaitLog(log, metrics))
     private val started = ArrayList<String>()
     private val refused = ArrayList<String>()
     private val engines = listOf("i-1", "i-2").map { id ->
