Fail attempts whose answer has a status that HTTP does not define

Cause: a target in trouble sent an answer with the status 000, and the caller got it as its answer: both codecs accept any number as a status. Ruled out: an empty reason phrase, which is valid, and interim answers in front of the final one, which are skipped. Change: a status outside of 100 to 599 is a fault of the head and fails the attempt with an unknown outcome, so a call that runs once gets 502.

--- a/core/src/main/kotlin/org/banyanturn/core/delivery/AnswerHead.kt
+++ b/core/src/main/kotlin/org/banyanturn/core/delivery/AnswerHead.kt
@@ -19,6 +19,9 @@
 
     /** The target changes to another protocol, for which it was not asked. */
     PROTOCOL_CHANGED,
+
+    /** The status is none that an answer may have, so that a caller could not tell what it means. */
+    INVALID_STATUS,
 }
 
 /**
@@ -32,6 +35,7 @@
 public fun AnswerHead.faultOrNull(singleFields: Set<String>): AnswerHeadFault? =
     when {
         statusCode == STATUS_SWITCHING_PROTOCOLS -> AnswerHeadFault.PROTOCOL_CHANGED
+        statusCode !in VALID_STATUSES -> AnswerHeadFault.INVALID_STATUS
         hasStatusLine(reasonPhrase) || fields.any { hasStatusLine(it.value) } -> AnswerHeadFault.JOINED
         hasRepeatedField(singleFields) -> AnswerHeadFault.REPEATED_FIELD
         hasField(CONTENT_LENGTH) && hasField(TRANSFER_ENCODING) -> AnswerHeadFault.AMBIGUOUS_END
@@ -48,6 +52,9 @@
 private fun hasStatusLine(text: String): Boolean = PROTOCOL in text && STATUS_LINE.containsMatchIn(text)
 
 private const val STATUS_SWITCHING_PROTOCOLS = 101
+
+/** The statuses that HTTP defines classes for; targets in trouble have sent 000. */
+private val VALID_STATUSES = 100..599
 private const val CONTENT_LENGTH = "content-length"
 private const val TRANSFER_ENCODING = "transfer-encoding"
 private val FRAMING_FIELDS = setOf(CONTENT_LENGTH, TRANSFER_ENCODING)
--- a/core/src/test/kotlin/org/banyanturn/core/delivery/AnswerHeadTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/delivery/AnswerHeadTest.kt
@@ -94,6 +94,16 @@
         assertEquals(AnswerHeadFault.PROTOCOL_CHANGED, head(statusCode = 101).fault())
     }
 
+    @Test
+    fun `a status outside of the defined classes is a fault, and an empty reason is none`() {
+        listOf(0, 1, 99, 600, 999).forEach {
+            assertEquals(AnswerHeadFault.INVALID_STATUS, head(statusCode = it).fault(), "$it")
+        }
+        listOf(100, 103, 200, 299, 404, 451, 500, 599).forEach {
+            assertNull(head(statusCode = it, reason = "").fault(), "$it")
+        }
+    }
+
     private companion object {
         const val SEED = 44L
         const val NEWLINE = "\r\n"
