--- a/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/EntryProcess.kt
@@ -163,7 +163,8 @@
     )
     private val memoryGuard =
         EngineMemoryGuard(view, clock, boot.boundsMemory, { liveness.sharingVms().count }, log, metrics)
-    private val placement = TargetSelector(view, clock, random, memoryGuard, { liveness.sharingVms().count }, coldTargets)
+    private val placement =
+        TargetSelector(view, clock, random, memoryGuard, { liveness.sharingVms().count }, coldTargets)
     private val rankedWaitLog = RankedWaitLog(log, metrics)
     private val waitQueue = WaitQueue(placement, clock, view, rankedWaitLog)
     private val retries = ServiceRetryBudgets(
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/CatalogFollower.kt
@@ -37,7 +37,7 @@
 ) {
     private val retry = RetryBackoff(random)
     private var nextOffset: Long? = null
-    private var epoch = 0L
+    private var epoch: Long? = null
 
     /** The document of the current catalog, for peers that can't reach the store, or `null` while there is none. */
     var document: String? = null
@@ -63,7 +63,7 @@
         topic.snapshot().fold(
             success = { snapshot ->
                 outages.onSuccess()
-                evacuations.onSnapshot(snapshot.records)
+                evacuations.onSnapshot(snapshot.records, isRolledBack = epoch != null && snapshot.epoch != epoch)
                 snapshot.records.forEach { applyRecord(it, "store") }
                 nextOffset = snapshot.nextOffset
                 epoch = snapshot.epoch
--- a/entry/src/main/kotlin/org/banyanturn/entry/follow/ZoneEvacuations.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/follow/ZoneEvacuations.kt
@@ -45,9 +45,14 @@
     /** Called after the evacuated zones have changed. */
     var onChange: () -> Unit = {}
 
-    /** Handles the newest [records] of all keys, read from the store. */
-    fun onSnapshot(records: List<KeyedRecord>) {
-        storedZones = emptySet()
+    /**
+     * Handles the newest [records] of all keys, read from the store.
+     *
+     * @param isRolledBack whether the store was restored from an older copy since the last snapshot. A key that it
+     * lacks may then be written again soon, so that only a record without a value ends an evacuation.
+     */
+    fun onSnapshot(records: List<KeyedRecord>, isRolledBack: Boolean = false) {
+        storedZones = if (isRolledBack) view.evacuatedZones else emptySet()
         onChanges(records)
     }
 
--- a/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
+++ b/entry/src/main/kotlin/org/banyanturn/entry/requests/ServedRequest.kt
@@ -38,11 +38,10 @@
     private val exchange = admission.exchange
     private val route = admission.route
     private val machine = environment.requestMachineFor(service, route.maxAttempts)
-    private val deadlineMillis = exchange.arrivedAtMillis +
-        minOf(admission.call.timeoutMillis ?: route.timeoutMillis, route.timeoutMillis)
+    private val timing = RequestTiming(admission, service, environment)
+    private val deadlineMillis = timing.deadlineMillis
     private val memberId = admission.member?.memberId
-    private val rank = admission.member?.rank ?: route.rank
-    private val latencies = environment.latenciesOf(route.name)
+    private val latencies = timing.latencies
     private val copy = copyOrNull()
     private val affinityKey = affinityKey()
     private val crashEvidence = RequestEvidence(
@@ -145,34 +144,14 @@
         }
     }
 
-    /** Latest time at which a target must start the request for its response to reach the caller in time. */
-    private val startByMillis: Long = minOf(
-        deadlineMillis - latencies.fullResponseMillis(),
-        exchange.arrivedAtMillis + (route.firstEventTimeoutMillis ?: Long.MAX_VALUE / 2) - latencies.firstPartMillis(),
-    )
-
     override val startTerms: StartTerms
-        get() = StartTerms(
-            memberId ?: RequestEnvironment.PUBLIC_MEMBER,
-            rank,
-            exchange.arrivedAtMillis,
-            onTimeByMillis = exchange.arrivedAtMillis + route.targetLatencyMillis -
-                if (isStream) latencies.firstPartMillis() else latencies.fullResponseMillis(),
-            startByMillis,
-            workMillis(),
-        )
-
-    private fun workMillis(): Double {
-        val tokens = admission.call.tokens ?: return latencies.fullResponseMillis().toDouble()
-        val prefillMillis = environment.prefillSpeed.millisPerTokenOrNull() ?: RequestTimings.PREFILL_TOKEN_MILLIS
-        return tokens.prompt * prefillMillis + tokens.maxGenerated * RequestTimings.OUTPUT_TOKEN_MILLIS
-    }
+        get() = timing.startTerms()
 
     /** Sends the request to [target] unless a request of its service waits for the same copy. */
     private fun startOrQueue(target: KnownTarget) {
         if (hasSelectedTarget) return onTarget(target)
-        if (environment.waitQueue.isOvertaking(requirements) && startByMillis > now()) {
-            enqueue(startByMillis)
+        if (environment.waitQueue.isOvertaking(requirements) && timing.startByMillis > now()) {
+            enqueue(timing.startByMillis)
             return environment.waitQueue.dispatch()
         }
         environment.waitQueue.recordUnqueued(service, startTerms, isStarted = true)
@@ -180,7 +159,7 @@
     }
 
     private fun waitForCapacity() {
-        val maxWaitMillis = minOf(startByMillis - now(), maxCapacityWaitMillis())
+        val maxWaitMillis = minOf(timing.startByMillis - now(), maxCapacityWaitMillis())
         if (maxWaitMillis <= 0) {
             environment.waitQueue.recordUnqueued(service, startTerms, isStarted = false)
             return refuseTemporarily("busy", latencies.fullResponseMillis())
@@ -193,7 +172,7 @@
         if (environment.waitQueue.isRanked(service)) Long.MAX_VALUE else route.targetLatencyMillis
 
     private fun waitForQuietEnd(quietMillis: Long) {
-        val maxWaitMillis = minOf(startByMillis - now(), maxCapacityWaitMillis())
+        val maxWaitMillis = minOf(timing.startByMillis - now(), maxCapacityWaitMillis())
         if (quietMillis > maxWaitMillis) return refuseTemporarily("targets_quiet", quietMillis)
         enqueue(now() + maxWaitMillis)
     }
@@ -203,8 +182,9 @@
             is CopyAvailability.Unavailable -> refuseTemporarily("no_copy", availability.retryAfterMillis)
 
             is CopyAvailability.Expected -> {
-                val isInTime = now() + availability.readyInMillis <= startByMillis
-                if (isInTime) enqueue(startByMillis) else refuseTemporarily("copy_too_late", availability.readyInMillis)
+                val isInTime = now() + availability.readyInMillis <= timing.startByMillis
+                if (!isInTime) return refuseTemporarily("copy_too_late", availability.readyInMillis)
+                enqueue(timing.startByMillis)
             }
         }
     }
@@ -229,16 +209,9 @@
     }
 
     override val prompt: PendingPrompt
-        get() = PendingPrompt(memberId ?: RequestEnvironment.PUBLIC_MEMBER, promptTokens, promptUrgencyOrNull())
-
-    private fun promptUrgencyOrNull(): PromptUrgency? {
-        if (!environment.waitQueue.isRanked(service)) return null
-        val terms = startTerms
-        return PromptUrgency(terms.rank, terms.onTimeByMillis, terms.workMillis)
-    }
+        get() = PendingPrompt(memberId ?: RequestEnvironment.PUBLIC_MEMBER, promptTokens, timing.promptUrgencyOrNull())
 
-    override fun sendByMillis(): Long =
-        minOf(startByMillis, exchange.arrivedAtMillis + route.targetLatencyMillis - latencies.firstPartMillis())
+    override fun sendByMillis(): Long = timing.sendByMillis()
 
     override fun reselectTarget(): Unit = selectTarget(avoidedTargetIds)
 
@@ -302,7 +275,7 @@
             member = memberId?.value,
             remainingMillis = deadlineMillis - now(),
             lastEventId = relay.lastEventId?.toString(),
-            rank = rank,
+            rank = timing.rank,
         )
         return targetRequest(exchange, added)
     }
--- a/entry/src/test/kotlin/org/banyanturn/entry/requests/EngineMemoryGuardTest.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/requests/EngineMemoryGuardTest.kt
@@ -5,6 +5,7 @@
 import org.banyanturn.core.TargetId
 import org.banyanturn.core.ZoneId
 import org.banyanturn.core.placement.CopyName
+import org.banyanturn.core.queueing.StartTerms
 import org.banyanturn.core.serving.CallerLimits
 import org.banyanturn.core.serving.Catalog
 import org.banyanturn.core.serving.EngineSpec
@@ -17,6 +18,7 @@
 import org.banyanturn.daemon.ProcessClock
 import org.banyanturn.entry.observe.DecisionLog
 import org.banyanturn.entry.observe.EntryMetrics
+import org.banyanturn.entry.observe.RankedWaitLog
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
@@ -82,6 +84,7 @@
     }
 
     private inner class Waiting(override val requirements: TargetRequirements) : WaitingRequest {
+        override val startTerms = StartTerms(MemberId("growers"), 0, nowMillis, nowMillis + 900, nowMillis + 900, 100.0)
         var result = "waits"
 
         override fun onTarget(target: KnownTarget) {
@@ -96,7 +99,7 @@
     @Test
     fun `a waiting request keeps its turn until the engine has the memory for it`() {
         hold(6_000)
-        val queue = WaitQueue(selector(), clock)
+        val queue = WaitQueue(selector(), clock, view, RankedWaitLog(DecisionLog(clock, metrics), metrics))
         val large = Waiting(requirements(8_000))
         queue.enqueue("large", MemberId("growers"), large, nowMillis + 900)
         repeat(3) { queue.dispatch() }
