--- a/core/src/test/kotlin/org/banyanturn/core/routing/CopyChooserTest.kt
+++ b/core/src/test/kotlin/org/banyanturn/core/routing/CopyChooserTest.kt
@@ -56,17 +56,4 @@
         assertEquals(4, load.ended("old", 1_200).ended("new", 1_250).requestsAt(1_300))
         assertEquals(2, load.requestsAt(60_000))
     }
-
-    @Test
-    fun `a gap in the cache events lowers the expected number of cached blocks and the capacity is not exceeded`() {
-        val hashes = List(4) { PrefixHash(it.toLong()) }
-        val index = hashes.foldIndexed(prefixIndexOf(3)) { number, index, hash ->
-            index.observe(PrefixEvent.Stored(number.toLong(), hash))
-        }
-        assertEquals(3, index.size)
-        assertEquals(3.0, index.expectedBlocks(hashes.drop(1)))
-        val afterGap = index.observe(PrefixEvent.Evicted(9, hashes[3]))
-        assertEquals(1.0, afterGap.expectedBlocks(hashes.drop(1)))
-        assertEquals(afterGap.size, afterGap.observe(PrefixEvent.Stored(5, hashes[0])).size)
-    }
 }
