Assign ports from blocks that each process claims

Cause: not proven. Some 8 ports of a neighbour among 20,000 meet one of a fleet's 20 in about one start of a hundred. Ruled out: outgoing connections, whose ports begin at 32,768; compiler daemons, which listen long before a port is drawn. Change: LocalPorts of the stand-ins claims blocks of 500 ports by listening at the first one; the fleet of the demonstration and the fixture of the entry VM use it in place of two draws of their own.

--- a/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalFleet.kt
+++ b/acceptance/src/main/kotlin/org/banyanturn/acceptance/LocalFleet.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.banyanturn.standin.LocalPorts
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.io.path.exists
@@ -162,6 +163,6 @@
 
 /** Returns ports for an entry VM that are free now. */
 public fun freeVmPorts(): VmPorts {
-    val ports = freePorts(PORTS_PER_VM)
+    val ports = List(PORTS_PER_VM) { LocalPorts.next() }
     return VmPorts(ports[0], ports[1], ports[2], ports[3], ports[4])
 }
--- a/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
+++ b/entry/src/test/kotlin/org/banyanturn/entry/EntryFixture.kt
@@ -3,24 +3,20 @@
 import com.github.michaelbull.result.get
 import kotlinx.coroutines.runBlocking
 import org.banyanturn.platform.hosted.parseVmBoot
+import org.banyanturn.standin.LocalPorts
 import org.banyanturn.standin.hosted.HostedPlatformStandin
 import java.io.IOException
-import java.net.ServerSocket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
-import kotlin.random.Random
 
 private const val HOST = "127.0.0.1"
 private const val TIMEOUT_SECONDS = 20L
 private const val READINESS_TIMEOUT_SECONDS = 2L
-private const val MIN_PORT = 10_000
-private const val MAX_PORT = 32_000
 
 /** The operators' document; `VERSION`, `KEYS` and `RATE` are placeholders, the last two for the one member's terms. */
 private const val DOCUMENT = """
@@ -43,36 +39,20 @@
    "burst": RATE}]}
 """
 
-/** Ports that were given to a fixture of this process; its VM may not have started yet. */
-private val assignedPorts: MutableSet<Int> = ConcurrentHashMap.newKeySet()
-
 /** Runs an entry VM in this process, against a stand-in of the platform with two engines and a plain service. */
 internal class EntryFixture : AutoCloseable {
     val platform = HostedPlatformStandin()
 
     /** The port at which the VM takes callers' requests. */
-    val callerPort = freePortRange(count = 1)
-    private val readinessPort = freePortRange(count = 1)
+    val callerPort = LocalPorts.next()
+    private val readinessPort = LocalPorts.next()
 
     /** The port at which the VM takes datagrams of other VMs. */
-    val peerPort = freePortRange(count = 3)
+    val peerPort = LocalPorts.next(count = 3)
     private val client = HttpClient.newHttpClient()
     private var process: EntryProcess? = null
     private val ended = CompletableFuture<Unit>()
 
-    /**
-     * Returns the first of [count] consecutive free ports.
-     *
-     * They lie below the range from which the system assigns ports to outgoing connections, one of which could take the
-     * port before the VM listens there.
-     */
-    private fun freePortRange(count: Int): Int =
-        generateSequence { Random.nextInt(MIN_PORT, MAX_PORT) }.first { port ->
-            (port until port + count).all { assignedPorts.add(it) && isFree(it) }
-        }
-
-    private fun isFree(port: Int): Boolean = runCatching { ServerSocket(port).close() }.isSuccess
-
     private fun document(version: Int = 1, keys: String = "\"k1\"", rate: Int = 100_000): String =
         DOCUMENT.replace("VERSION", "$version").replace("KEYS", keys).replace("RATE", "$rate")
 
