--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -115,7 +115,7 @@
 
     private static boolean areFree(int first, int count) {
         for (int port = first; port < first + count; port++) {
-            for (String ip : new String[] {"127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4"}) {
+            for (String ip : new String[] {"127.0.0.1", "127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", "127.0.0.6"}) {
                 try (ServerSocket probe = new ServerSocket()) {
                     probe.bind(new InetSocketAddress(ip, port));
                 } catch (IOException error) {
