--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -192,7 +192,8 @@
 
         /** Sends the signal [name], such as TERM, STOP or CONT, to the process. */
         public void signal(String name) throws Exception {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            Process sent = new ProcessBuilder("bash", "-c", "kill -" + name + " " + process.pid()).start();
+            if (sent.waitFor() != 0) finish(2, "the signal " + name + " could not be sent");
             note("%s: signal %s", this.name, name);
         }
 
